--- /dev/null
+++ b/include/cyclamenpost/http.hpp
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cyclamenpost/event_loop.hpp"
+
+namespace cyclamenpost {
+
+/// One HTTP header field. Names are lower case.
+struct header {
+    std::string name;
+    std::string value;
+};
+
+using header_list = std::vector<header>;
+
+/// Value of the named header, or an empty view.
+auto header_value(const header_list& headers, std::string_view name) -> std::string_view;
+
+/// A request as the server received it, body included.
+struct http_request {
+    std::string method;
+    std::string path;
+    std::string query;
+    header_list headers;
+    std::string body;
+    std::string peer;
+};
+
+/// Value of a query parameter with percent escapes decoded, or an empty string.
+auto query_value(std::string_view query, std::string_view name) -> std::string;
+
+/// Escapes a string for use in a path or query.
+auto percent_encode(std::string_view text) -> std::string;
+
+/// Limits of one listener.
+struct http_limits {
+    /// Largest request body in bytes; a larger one is answered with 413.
+    std::size_t body_bytes = 4U << 20U;
+    /// Time a sender has for the request's headers and body, in seconds.
+    unsigned request_seconds = 20;
+    /// Time an idle kept-alive connection stays open, in seconds.
+    unsigned keepalive_seconds = 30;
+};
+
+namespace detail {
+struct exchange_state;
+struct server_state;
+struct call_state;
+} // namespace detail
+
+/// One request's answer. It may be completed at any later time on the loop's thread. Every call
+/// after the caller has gone is ignored.
+class http_exchange {
+public:
+    explicit http_exchange(std::shared_ptr<detail::exchange_state> state);
+
+    /// Sends a whole answer.
+    auto respond(int status, const header_list& headers, std::string_view body) -> void;
+
+    /// Sends status and headers of an answer whose body follows in chunks.
+    auto begin_stream(int status, const header_list& headers) -> void;
+
+    /// Appends bytes to a streamed answer.
+    auto write(std::string_view bytes) -> void;
+
+    /// Ends a streamed answer.
+    auto finish() -> void;
+
+    /// Closes the connection without completing the answer.
+    auto abort() -> void;
+
+    /// Calls `action` once if the connection closes before the answer was sent completely.
+    auto on_closed(std::function<void()> action) -> void;
+
+    /// Calls `action` each time all buffered bytes were handed to the connection.
+    auto on_drained(std::function<void()> action) -> void;
+
+    /// Bytes written but not yet handed to the connection.
+    auto buffered_bytes() const -> std::size_t;
+
+    /// Whether the caller is still connected and the answer is not complete.
+    auto open() const -> bool;
+
+private:
+    std::shared_ptr<detail::exchange_state> state_;
+};
+
+/// Called for each complete request.
+using request_handler = std::function<void(http_request, std::shared_ptr<http_exchange>)>;
+
+/// An HTTP/1.1 listener on the loop.
+class http_server {
+public:
+    http_server();
+    http_server(const http_server&) = delete;
+    auto operator=(const http_server&) -> http_server& = delete;
+    ~http_server();
+
+    /// Listens on `address` and `port` (0 picks a free port). Fails with `listen_failed`.
+    auto start(event_loop& loop, const std::string& address, int port, http_limits limits,
+               request_handler handler) -> result<void>;
+
+    /// The port in use.
+    auto port() const -> int;
+
+    /// Stops accepting connections and closes those that are open.
+    auto stop() -> void;
+
+private:
+    std::unique_ptr<detail::server_state> state_;
+};
+
+/// A request for the HTTP client.
+struct client_request {
+    /// "IP:port" of the peer.
+    std::string address;
+    std::string method = "GET";
+    /// Path with query, already escaped.
+    std::string path = "/";
+    header_list headers;
+    std::string body;
+    /// Limit for connecting, in milliseconds.
+    int connect_timeout_ms = 2000;
+};
+
+/// How a client call ended.
+enum class call_end { complete, truncated, not_connected, not_sent, cancelled };
+
+inline constexpr std::array call_end_names{
+    enum_name<call_end>{call_end::complete, "complete"},
+    enum_name<call_end>{call_end::truncated, "truncated"},
+    enum_name<call_end>{call_end::not_connected, "not_connected"},
+    enum_name<call_end>{call_end::not_sent, "not_sent"},
+    enum_name<call_end>{call_end::cancelled, "cancelled"},
+};
+
+/// Callbacks of one client call. Each may be empty. `on_end` is called exactly once, never from
+/// within `start_call`.
+struct call_handlers {
+    /// Called after connecting and before the first byte is sent. Returning false ends the call
+    /// as `not_sent`.
+    std::function<bool()> before_send;
+    std::function<void(int status, const header_list& headers)> on_headers;
+    std::function<void(std::string_view bytes)> on_data;
+    std::function<void(call_end end)> on_end;
+};
+
+/// A client call in progress. Destroying the handle does not end the call.
+class http_call {
+public:
+    explicit http_call(std::shared_ptr<detail::call_state> state);
+
+    /// Closes the connection. `on_end` follows with `cancelled`.
+    auto cancel() -> void;
+
+    /// Stops or resumes reading, so that a slow receiver bounds the bytes in memory.
+    auto read(bool enabled) -> void;
+
+    /// Whether any byte of the request may have reached the peer.
+    auto sent() const -> bool;
+
+private:
+    std::shared_ptr<detail::call_state> state_;
+};
+
+/// Starts a request to another process. Every call uses its own connection.
+auto start_call(event_loop& loop, client_request request, call_handlers handlers)
+    -> std::shared_ptr<http_call>;
+
+/// A complete answer collected in memory.
+struct client_response {
+    call_end end = call_end::not_connected;
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+
+/// Starts a request and calls `done` with the whole answer, at most `body_limit` bytes of it; a
+/// longer answer ends as `truncated`.
+auto fetch(event_loop& loop, client_request request, std::size_t body_limit,
+           std::function<void(client_response)> done) -> std::shared_ptr<http_call>;
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/error.cpp
@@ -0,0 +1,15 @@
+#include "cyclamenpost/error.hpp"
+
+namespace cyclamenpost {
+
+auto describe(const error& failure) -> std::string
+{
+    auto text = "[cyclamenpost." + std::to_string(static_cast<int>(failure.id)) + "] ";
+    text += name_in(step_names, failure.at);
+    if (!failure.peer.empty()) {
+        text += " " + failure.peer;
+    }
+    return text + ": " + failure.message;
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/tests/unit-http.cpp
@@ -0,0 +1,174 @@
+#include <doctest/doctest.h>
+
+#include "cyclamenpost/http.hpp"
+
+using namespace cyclamenpost;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct running_server {
+    event_loop loop;
+    http_server server;
+
+    explicit running_server(request_handler handler, http_limits limits = {})
+    {
+        REQUIRE(
+            try_or([&] { return server.start(loop, "127.0.0.1", 0, limits, std::move(handler)); },
+                   [](const error& failure) { MESSAGE(describe(failure)); }));
+    }
+
+    auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(server.port());
+    }
+
+    auto exchange(client_request request) -> client_response
+    {
+        request.address = address();
+        auto response = client_response{};
+        auto finished = false;
+        fetch(loop, std::move(request), 1U << 24U, [&](client_response whole) {
+            response = std::move(whole);
+            finished = true;
+        });
+        REQUIRE(loop.run_until([&] { return finished; }, 10s));
+        return response;
+    }
+};
+
+} // namespace
+
+TEST_CASE("method, path, query, headers and body reach the handler unchanged")
+{
+    auto seen = http_request{};
+    auto running = running_server{[&](http_request request, const auto& exchange) {
+        seen = std::move(request);
+        exchange->respond(201, {{"x-target", "t1"}}, "made");
+    }};
+    for (const auto* method : {"GET", "POST", "PUT", "PATCH", "DELETE"}) {
+        CAPTURE(method);
+        auto request = client_request{};
+        request.method = method;
+        request.path = "/a/b%20c?x=1%262&y=z";
+        request.headers = {{"x-chat-id", "c9"}, {"content-type", "text/plain"}};
+        request.body = std::string(method) == "GET" ? "" : std::string(100000, 'q');
+        const auto response = running.exchange(request);
+        CHECK(response.end == call_end::complete);
+        CHECK(response.status == 201);
+        CHECK(response.body == "made");
+        CHECK(header_value(response.headers, "x-target") == "t1");
+        CHECK(seen.method == method);
+        CHECK(seen.path == "/a/b c");
+        CHECK(query_value(seen.query, "y") == "z");
+        CHECK(header_value(seen.headers, "x-chat-id") == "c9");
+        CHECK(header_value(seen.headers, "content-type") == "text/plain");
+        CHECK(seen.body == request.body);
+    }
+}
+
+TEST_CASE("an empty body with POST is dispatched instead of waiting for bytes")
+{
+    auto running = running_server{
+        [](const http_request&, const auto& exchange) { exchange->respond(200, {}, "ok"); }};
+    auto request = client_request{};
+    request.method = "POST";
+    CHECK(running.exchange(request).body == "ok");
+}
+
+TEST_CASE("a streamed answer larger than the socket buffer arrives whole")
+{
+    auto running = running_server{[](const http_request&, const auto& exchange) {
+        exchange->begin_stream(200, {{"content-type", "text/event-stream"}});
+        for (auto i = 0; i < 500; ++i) {
+            exchange->write(std::string(4000, 'a'));
+        }
+        exchange->finish();
+    }};
+    const auto response = running.exchange({});
+    CHECK(response.end == call_end::complete);
+    CHECK(response.body.size() == 2000000);
+}
+
+TEST_CASE("an answer whose connection breaks is reported as truncated, never as complete")
+{
+    auto running = running_server{[](const http_request&, const auto& exchange) {
+        exchange->begin_stream(200, {});
+        exchange->write("half");
+        exchange->on_drained([exchange] { exchange->abort(); });
+    }};
+    const auto response = running.exchange({});
+    CHECK(response.end == call_end::truncated);
+    CHECK(response.body == "half");
+}
+
+TEST_CASE("a body over the limit is refused and the listener keeps serving")
+{
+    auto limits = http_limits{};
+    limits.body_bytes = 1000;
+    auto running = running_server{
+        [](const http_request&, const auto& exchange) { exchange->respond(200, {}, "ok"); },
+        limits};
+    auto large = client_request{};
+    large.method = "POST";
+    large.body = std::string(1001, 'x');
+    CHECK(running.exchange(large).status == 413);
+    CHECK(running.exchange({}).status == 200);
+}
+
+TEST_CASE("a call whose permit was withdrawn is ended before any byte is sent")
+{
+    auto requests = 0;
+    auto running = running_server{[&](const http_request&, const auto& exchange) {
+        ++requests;
+        exchange->respond(200, {}, "ok");
+    }};
+    auto request = client_request{};
+    request.address = running.address();
+    auto handlers = call_handlers{};
+    handlers.before_send = [] { return false; };
+    auto end = std::optional<call_end>{};
+    handlers.on_end = [&](call_end reached) { end = reached; };
+    const auto call = start_call(running.loop, request, handlers);
+    REQUIRE(running.loop.run_until([&] { return end.has_value(); }, 10s));
+    CHECK(*end == call_end::not_sent);
+    CHECK(!call->sent());
+    CHECK(running.exchange({}).status == 200);
+    CHECK(requests == 1);
+}
+
+TEST_CASE("a refused connection is told apart from a sent request")
+{
+    auto loop = event_loop{};
+    auto response = std::optional<client_response>{};
+    auto request = client_request{};
+    request.address = "127.0.0.1:1";
+    fetch(loop, request, 100, [&](client_response whole) { response = std::move(whole); });
+    REQUIRE(loop.run_until([&] { return response.has_value(); }, 10s));
+    CHECK(response->end == call_end::not_connected);
+}
+
+TEST_CASE("cancelling a call closes the connection at the server")
+{
+    auto closed = false;
+    auto started = false;
+    auto held = std::shared_ptr<http_exchange>{};
+    auto running = running_server{[&](const http_request&, const auto& exchange) {
+        held = exchange;
+        exchange->on_closed([&] { closed = true; });
+        exchange->begin_stream(200, {});
+        exchange->write("x");
+        started = true;
+    }};
+    auto request = client_request{};
+    request.address = running.address();
+    auto end = std::optional<call_end>{};
+    auto handlers = call_handlers{};
+    handlers.on_end = [&](call_end reached) { end = reached; };
+    const auto call = start_call(running.loop, request, handlers);
+    REQUIRE(running.loop.run_until([&] { return started; }, 10s));
+    call->cancel();
+    CHECK(running.loop.run_until([&] { return end.has_value(); }, 5s));
+    CHECK(running.loop.run_until([&] { return closed; }, 5s));
+    CHECK(*end == call_end::cancelled);
+}
