--- /dev/null
+++ b/include/cyclamenpost/log.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "cyclamenpost/error.hpp"
+
+namespace cyclamenpost {
+
+/// Severity of a log line.
+enum class log_level { debug, info, warn, error };
+
+inline constexpr std::array log_level_names{
+    enum_name<log_level>{log_level::debug, "debug"},
+    enum_name<log_level>{log_level::info, "info"},
+    enum_name<log_level>{log_level::warn, "warn"},
+    enum_name<log_level>{log_level::error, "error"},
+};
+
+/// One key and value of a structured log line.
+struct log_field {
+    std::string_view key;
+    std::string value;
+};
+
+/// Starts logging to standard error. Lines below `level` are dropped.
+auto start_logging(log_level level) -> void;
+
+/// Writes one line "event=<event> key=value ...". Values with spaces or quotes are quoted. Callers
+/// pass no tokens, message bodies or secrets.
+auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+    -> void;
+
+/// Writes an error with its id, step and peer.
+auto log_error(std::string_view event, const error& failure) -> void;
+
+/// Formats the line that `log_event` writes.
+auto format_event(std::string_view event, std::initializer_list<log_field> fields) -> std::string;
+
+} // namespace cyclamenpost
