--- a/include/cyclamenpost/orders.hpp
+++ b/include/cyclamenpost/orders.hpp
@@ -93,7 +93,9 @@
 struct given_order {
     order_action action = order_action::none;
     std::string item;
+    std::string version;
     std::uint64_t fence = 0;
+    incarnation_id incarnation = 0;
     time_point given;
 };
 
@@ -136,6 +138,7 @@
     std::string item;
     std::string version;
     std::uint64_t fence = 0;
+    incarnation_id incarnation = 0;
 };
 
 /// Decides which order, if any, a target is given now.
@@ -150,11 +153,16 @@
 /// How a target answered an order.
 enum class order_answer { accepted, stale_fence, failed, lost };
 
-/// Notes the answer. After anything but `accepted` the engine's state is read before the next
-/// order; `current_fence` is the engine's number in a 409.
+/// Notes the answer. An accepted order stays in progress until a report shows its effect, and a
+/// lost one until a report was read. A refused or failed one ends, and the engine's state is read
+/// before the next; `current_fence` is the engine's number in a 409.
 auto note_order_answer(target_orders& orders, order_answer answer, std::uint64_t current_fence,
                        time_point now) -> void;
 
+/// Compares a report with the order in progress: the order ends when its effect shows, when the
+/// target restarted, or when the report was read after the order's time limit.
+auto note_report(target_orders& orders, const reported_state& reported) -> void;
+
 /// Formats the decision for the log: target, action, item, fence, reason.
 auto describe(const order_decision& decision, std::string_view target) -> std::string;
 
--- a/include/cyclamenpost/retries.hpp
+++ b/include/cyclamenpost/retries.hpp
@@ -172,9 +172,8 @@
 /// Removes expired strikes.
 auto expire_strikes(suspect_table& table, time_point now) -> void;
 
-/// Isolation rule: a suspect starts only at a target that runs no suspect of another fingerprint,
-/// so that the next death points at one request. `running` holds the suspects running there.
-auto isolation_allows(std::uint64_t fingerprint, suspicion own,
-                      const std::vector<std::uint64_t>& running) -> bool;
+/// Isolation rule: a suspect starts only at a target that runs no other suspect, so that the next
+/// death points at one request. A second copy of the same content counts as another suspect.
+auto isolation_allows(suspicion own, std::size_t suspects_running) -> bool;
 
 } // namespace cyclamenpost
--- /dev/null
+++ b/src/retries.cpp
@@ -0,0 +1,252 @@
+#include "cyclamenpost/retries.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <iterator>
+
+namespace cyclamenpost {
+
+namespace {
+
+// fewer observations do not make a percentile worth acting on
+constexpr std::size_t least_hedge_observations = 100;
+
+// a hedge sooner than this would race ordinary scheduling delay
+constexpr duration least_hedge_wait = std::chrono::milliseconds{10};
+
+constexpr duration first_retry_delay = std::chrono::milliseconds{25};
+constexpr duration longest_retry_delay = std::chrono::milliseconds{400};
+
+// a day; longer deadlines are no use and would overflow the arithmetic
+constexpr std::int64_t longest_deadline_ms = 86'400'000;
+
+// enough to hold two strikes that count besides cleared ones
+constexpr std::size_t max_strikes_per_suspect = 8;
+
+auto second_of(time_point now) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+}
+
+auto bucket_at(retry_budget& budget, time_point now) -> retry_budget::bucket&
+{
+    const auto second = second_of(now);
+    auto& bucket = budget.buckets.at(static_cast<std::size_t>(second) % budget.buckets.size());
+    if (bucket.second != second) {
+        bucket = {};
+        bucket.second = second;
+    }
+    return bucket;
+}
+
+auto age_in_seconds(const retry_budget::bucket& bucket, std::int64_t second) -> std::int64_t
+{
+    return bucket.second < 0 ? retry_budget::window_seconds + 1 : second - bucket.second;
+}
+
+auto newest_expiry(const std::vector<detail::counted_strike>& strikes) -> time_point
+{
+    return std::ranges::max(strikes, {}, &detail::counted_strike::expires).expires;
+}
+
+auto drop_suspect(suspect_table& table, std::uint64_t fingerprint) -> void
+{
+    const auto found = table.suspects.find(fingerprint);
+    table.expiry.erase({newest_expiry(found->second), fingerprint});
+    table.suspects.erase(found);
+}
+
+auto make_room(suspect_table& table) -> void
+{
+    while (table.suspects.size() >= std::max<std::size_t>(table.settings.max_suspects, 1)) {
+        drop_suspect(table, table.expiry.begin()->second);
+    }
+}
+
+auto same_death(const detail::counted_strike& one, const detail::counted_strike& other) -> bool
+{
+    return one.target_hash == other.target_hash && one.incarnation == other.incarnation;
+}
+
+// strikes that count, at most one per death
+auto counting(const std::vector<detail::counted_strike>& strikes, time_point now) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(strikes, [&](const detail::counted_strike& one) {
+            return !one.cleared && one.expires > now;
+        }));
+}
+
+} // namespace
+
+auto count_first_attempt(retry_budget& budget, time_point now) -> void
+{
+    ++bucket_at(budget, now).first_attempts;
+}
+
+auto retries_left(const retry_budget& budget, time_point now) -> std::uint32_t
+{
+    const auto second = second_of(now);
+    constexpr auto window = static_cast<std::int64_t>(retry_budget::window_seconds);
+    auto first_attempts = std::uint64_t{0};
+    auto retries = std::uint64_t{0};
+    for (const auto& bucket : budget.buckets) {
+        const auto age = age_in_seconds(bucket, second);
+        first_attempts += age < window ? bucket.first_attempts : 0;
+        retries += age <= window ? bucket.retries : 0;
+    }
+    const auto allowed = budget.settings.share * static_cast<double>(first_attempts) +
+                         budget.settings.per_second * static_cast<double>(window);
+    const auto left = std::floor(allowed) - static_cast<double>(retries);
+    return left <= 0.0 ? 0 : static_cast<std::uint32_t>(left);
+}
+
+auto spend_retry(retry_budget& budget, time_point now) -> bool
+{
+    if (retries_left(budget, now) == 0) {
+        return false;
+    }
+    ++bucket_at(budget, now).retries;
+    return true;
+}
+
+auto hedge_at(const hedge_input& attempt) -> std::optional<time_point>
+{
+    const auto excluded = !attempt.repeatable || attempt.hedged_already || attempt.answer_started;
+    if (excluded || attempt.observations < least_hedge_observations) {
+        return std::nullopt;
+    }
+    const auto at = attempt.sent + std::max(attempt.p95, least_hedge_wait);
+    if (attempt.deadline && at >= *attempt.deadline) {
+        return std::nullopt;
+    }
+    return at;
+}
+
+auto deadline_from_header(std::string_view value, time_point now) -> std::optional<time_point>
+{
+    auto remaining = std::int64_t{0};
+    const auto* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, remaining);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    const auto bounded = std::clamp<std::int64_t>(remaining, 0, longest_deadline_ms);
+    return now + std::chrono::milliseconds{bounded};
+}
+
+auto deadline_header(time_point deadline, time_point now) -> std::string
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    return std::to_string(std::max<std::int64_t>(remaining.count(), 0));
+}
+
+auto deadline_allows(std::optional<time_point> deadline, time_point now, duration expected) -> bool
+{
+    return !deadline || now + expected < *deadline;
+}
+
+auto retry_delay(std::uint32_t attempt, double random) -> duration
+{
+    const auto doublings = std::min(attempt, 8U);
+    const auto ceiling = std::min(first_retry_delay * (1U << doublings), longest_retry_delay);
+    const auto share = std::clamp(random, 0.0, 1.0);
+    return duration{static_cast<duration::rep>(static_cast<double>(ceiling.count()) * share)};
+}
+
+auto decide_retry(retry_budget& budget, const retry_input& attempt, time_point now) -> retry_verdict
+{
+    if (attempt.sent && !attempt.repeatable) {
+        return retry_verdict::not_repeatable;
+    }
+    if (attempt.answer_started) {
+        return retry_verdict::answer_started;
+    }
+    if (attempt.attempts >= max_attempts) {
+        return retry_verdict::attempts_used;
+    }
+    if (!deadline_allows(attempt.deadline, now, attempt.expected)) {
+        return retry_verdict::deadline_passed;
+    }
+    return spend_retry(budget, now) ? retry_verdict::retry : retry_verdict::budget_spent;
+}
+
+auto request_fingerprint(std::string_view organisation, std::string_view path,
+                         std::string_view body) -> std::uint64_t
+{
+    return hash64(body, hash64(path, hash64(organisation)));
+}
+
+auto add_strike(suspect_table& table, const strike& seen, time_point now) -> bool
+{
+    expire_strikes(table, now);
+    const auto counted = detail::counted_strike{hash64(seen.target), seen.target_incarnation,
+                                                now + table.settings.lifetime, false};
+    if (!table.suspects.contains(seen.fingerprint)) {
+        make_room(table);
+    }
+    auto& strikes = table.suspects[seen.fingerprint];
+    const auto known = std::ranges::any_of(
+        strikes, [&](const detail::counted_strike& one) { return same_death(one, counted); });
+    if (known) {
+        return false;
+    }
+    if (!strikes.empty()) {
+        table.expiry.erase({newest_expiry(strikes), seen.fingerprint});
+    }
+    if (strikes.size() >= max_strikes_per_suspect) {
+        strikes.erase(strikes.begin());
+    }
+    strikes.push_back(counted);
+    table.expiry.emplace(newest_expiry(strikes), seen.fingerprint);
+    return true;
+}
+
+auto standing(const suspect_table& table, std::uint64_t fingerprint, time_point now) -> suspicion
+{
+    const auto found = table.suspects.find(fingerprint);
+    if (found == table.suspects.end()) {
+        return suspicion::none;
+    }
+    const auto strikes = counting(found->second, now);
+    if (strikes == 0) {
+        return suspicion::none;
+    }
+    return strikes == 1 ? suspicion::suspect : suspicion::stopped;
+}
+
+auto clear_strikes(suspect_table& table, std::uint64_t fingerprint, time_point now) -> bool
+{
+    const auto found = table.suspects.find(fingerprint);
+    if (found == table.suspects.end()) {
+        return false;
+    }
+    const auto counted = counting(found->second, now) > 0;
+    for (auto& one : found->second) {
+        one.cleared = true;
+    }
+    return counted;
+}
+
+auto expire_strikes(suspect_table& table, time_point now) -> void
+{
+    while (!table.expiry.empty() && table.expiry.begin()->first <= now) {
+        drop_suspect(table, table.expiry.begin()->second);
+    }
+}
+
+auto isolation_allows(suspicion own, std::size_t suspects_running) -> bool
+{
+    switch (own) {
+    case suspicion::none:
+        return true;
+    case suspicion::suspect:
+        return suspects_running == 0;
+    case suspicion::stopped:
+        return false;
+    }
+    return false;
+}
+
+} // namespace cyclamenpost
