--- /dev/null
+++ b/include/cyclamenpost/chat_table.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cyclamenpost/types.hpp"
+
+namespace cyclamenpost {
+
+/// Bounded table from a chat to the target that last served it. A hint only: a lost or wrong entry
+/// costs cache reuse. Entries lie in buckets of eight; a full bucket drops the chat whose last use
+/// is longest ago, because the chance that a chat returns falls with the time since its last use.
+class chat_table {
+public:
+    /// Reserves memory for `capacity` chats, rounded up to a multiple of eight.
+    explicit chat_table(std::size_t capacity);
+
+    /// Records that the target served the chat. Ignored after 65,535 different target ids.
+    auto record(std::string_view chat, std::string_view target, time_point now) -> void;
+
+    /// Target that last served the chat, or an empty view.
+    auto last_target(std::string_view chat) const -> std::string_view;
+
+    /// Drops all chats of a target, for example when its cache is lost.
+    auto forget_target(std::string_view target) -> void;
+
+    /// Number of chats held.
+    auto size() const -> std::size_t;
+
+    /// Number of chats the table can hold.
+    auto capacity() const -> std::size_t;
+
+    /// Memory of the entries in bytes, without the target names.
+    auto bytes() const -> std::size_t;
+
+private:
+    auto bucket_of(std::uint64_t key) const -> std::size_t;
+    auto find(std::uint64_t key) const -> std::optional<std::size_t>;
+    auto index_of(std::string_view target) -> std::optional<std::uint16_t>;
+    auto slot_for(std::uint64_t key, std::uint16_t now) const -> std::size_t;
+
+    std::vector<std::uint64_t> keys_;
+    std::vector<std::uint16_t> targets_;
+    std::vector<std::uint16_t> last_use_;
+    std::vector<std::string> names_;
+    std::unordered_map<std::string, std::uint16_t> indices_;
+    std::size_t size_ = 0;
+};
+
+} // namespace cyclamenpost
