Add placement of chats, assignment of gates and the chat table

Cause: a returning chat should meet its cached prefix while no engine exceeds the load bound. Change: rendezvous order and bounded selection with last target and cache hints, four baselines, a stable assignment of gates, and a table of 12 bytes a slot from chat to last target.

--- /dev/null
+++ b/src/chat_table.cpp
@@ -0,0 +1,141 @@
+#include "cyclamenpost/chat_table.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto bucket_size = std::size_t{8};
+
+/// Key of an empty slot.
+constexpr auto no_chat = std::uint64_t{0};
+
+/// Resolution of the last use. 65,536 steps cover three days; the order of older entries is lost.
+constexpr auto time_step = std::chrono::seconds{4};
+
+auto key_of(std::string_view chat) -> std::uint64_t
+{
+    const auto key = hash64(chat);
+    return key == no_chat ? 1 : key;
+}
+
+auto coarse(time_point now) -> std::uint16_t
+{
+    return static_cast<std::uint16_t>(now.time_since_epoch() / time_step);
+}
+
+} // namespace
+
+chat_table::chat_table(std::size_t capacity)
+{
+    const auto buckets = std::max<std::size_t>(1, (capacity + bucket_size - 1) / bucket_size);
+    keys_.assign(buckets * bucket_size, no_chat);
+    targets_.assign(keys_.size(), 0);
+    last_use_.assign(keys_.size(), 0);
+}
+
+auto chat_table::record(std::string_view chat, std::string_view target, time_point now) -> void
+{
+    const auto index = index_of(target);
+    if (!index) {
+        return;
+    }
+    const auto key = key_of(chat);
+    const auto slot = slot_for(key, coarse(now));
+    size_ += keys_[slot] == no_chat ? 1 : 0;
+    keys_[slot] = key;
+    targets_[slot] = *index;
+    last_use_[slot] = coarse(now);
+}
+
+auto chat_table::last_target(std::string_view chat) const -> std::string_view
+{
+    const auto slot = find(key_of(chat));
+    return slot ? std::string_view{names_[targets_[*slot]]} : std::string_view{};
+}
+
+auto chat_table::forget_target(std::string_view target) -> void
+{
+    const auto known = indices_.find(std::string{target});
+    if (known == indices_.end()) {
+        return;
+    }
+    for (std::size_t slot = 0; slot < keys_.size(); ++slot) {
+        if (keys_[slot] != no_chat && targets_[slot] == known->second) {
+            keys_[slot] = no_chat;
+            --size_;
+        }
+    }
+}
+
+auto chat_table::size() const -> std::size_t
+{
+    return size_;
+}
+
+auto chat_table::capacity() const -> std::size_t
+{
+    return keys_.size();
+}
+
+auto chat_table::bytes() const -> std::size_t
+{
+    return keys_.capacity() * sizeof(std::uint64_t) + targets_.capacity() * sizeof(std::uint16_t) +
+           last_use_.capacity() * sizeof(std::uint16_t);
+}
+
+auto chat_table::bucket_of(std::uint64_t key) const -> std::size_t
+{
+    return (key % (keys_.size() / bucket_size)) * bucket_size;
+}
+
+auto chat_table::find(std::uint64_t key) const -> std::optional<std::size_t>
+{
+    const auto first = bucket_of(key);
+    for (auto slot = first; slot < first + bucket_size; ++slot) {
+        if (keys_[slot] == key) {
+            return slot;
+        }
+    }
+    return std::nullopt;
+}
+
+auto chat_table::index_of(std::string_view target) -> std::optional<std::uint16_t>
+{
+    const auto known = indices_.find(std::string{target});
+    if (known != indices_.end()) {
+        return known->second;
+    }
+    if (names_.size() >= std::numeric_limits<std::uint16_t>::max()) {
+        return std::nullopt;
+    }
+    const auto index = static_cast<std::uint16_t>(names_.size());
+    names_.emplace_back(target);
+    indices_.emplace(target, index);
+    return index;
+}
+
+auto chat_table::slot_for(std::uint64_t key, std::uint16_t now) const -> std::size_t
+{
+    if (const auto held = find(key)) {
+        return *held;
+    }
+    const auto first = bucket_of(key);
+    auto victim = first;
+    auto oldest = std::uint16_t{0};
+    for (auto slot = first; slot < first + bucket_size; ++slot) {
+        if (keys_[slot] == no_chat) {
+            return slot;
+        }
+        const auto age = static_cast<std::uint16_t>(now - last_use_[slot]);
+        if (age >= oldest) {
+            oldest = age;
+            victim = slot;
+        }
+    }
+    return victim;
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,325 @@
+#include "cyclamenpost/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto prompt_tokens_per_unit = 512.0;
+constexpr auto output_tokens_per_unit = 256.0;
+
+using engine_list = std::span<const engine_view>;
+
+auto serves(const engine_view& engine) -> bool
+{
+    const auto up = engine.state != target_state::leaving && engine.state != target_state::gone;
+    return up && !engine.zone_out;
+}
+
+/// Share of the bound that a request of this cost may fill.
+auto usable_share(double cost, const placement_limits& limits) -> double
+{
+    return cost > limits.large_cost ? 0.5 : 1.0;
+}
+
+auto under_soft(const engine_view& engine, double cost, double mean, const placement_limits& limits)
+    -> bool
+{
+    const auto soft = 1 + (limits.multiple - 1) / 2;
+    return engine.load + cost <= soft * mean * usable_share(cost, limits) &&
+           under_bound(engine, cost, mean, limits);
+}
+
+auto serving_order(std::string_view chat, engine_list engines) -> std::vector<std::size_t>
+{
+    auto order = preference_order(chat, engines);
+    std::erase_if(order, [&](std::size_t index) { return !serves(engines[index]); });
+    return order;
+}
+
+/// First index in `order` that satisfies the condition.
+template <typename Condition>
+auto first_of(std::span<const std::size_t> order, Condition&& condition)
+    -> std::optional<std::size_t>
+{
+    const auto found = std::ranges::find_if(order, condition);
+    if (found == order.end()) {
+        return std::nullopt;
+    }
+    return *found;
+}
+
+auto least_of(std::span<const std::size_t> order, engine_list engines) -> std::optional<std::size_t>
+{
+    const auto found =
+        std::ranges::min_element(order, {}, [&](std::size_t index) { return engines[index].load; });
+    if (found == order.end()) {
+        return std::nullopt;
+    }
+    return *found;
+}
+
+auto baseline(std::optional<std::size_t> engine) -> placement_decision
+{
+    return {engine, engine ? placement_reason::baseline : placement_reason::no_engine};
+}
+
+auto choose_by_cache(const placement_request& request, engine_list engines, double mean,
+                     const placement_limits& limits) -> placement_decision
+{
+    const auto order = serving_order(request.chat, engines);
+    const auto hard = [&](std::size_t index) {
+        return under_bound(engines[index], request.cost, mean, limits);
+    };
+    const auto soft = [&](std::size_t index) {
+        return under_soft(engines[index], request.cost, mean, limits);
+    };
+    const auto last = first_of(order, [&](std::size_t index) {
+        return engines[index].id == request.last_target && hard(index);
+    });
+    if (last) {
+        return {last, placement_reason::last_target};
+    }
+    const auto early = std::span{order}.first(std::min(limits.hint_depth, order.size()));
+    const auto hinted = first_of(
+        early, [&](std::size_t index) { return engines[index].cache_hint && soft(index); });
+    if (hinted) {
+        return {hinted, placement_reason::cache_hint};
+    }
+    const auto spread = std::span{order}.first(std::min(limits.spread, order.size()));
+    if (const auto first = first_of(spread, soft)) {
+        return {first, placement_reason::first_under_soft};
+    }
+    auto admitting = std::vector<std::size_t>{};
+    std::ranges::copy_if(spread, std::back_inserter(admitting), hard);
+    if (const auto least = least_of(admitting, engines)) {
+        return {least, placement_reason::least_of_three};
+    }
+    if (const auto next = first_of(order, hard)) {
+        return {next, placement_reason::next_under_hard};
+    }
+    return {std::nullopt,
+            order.empty() ? placement_reason::no_engine : placement_reason::all_at_bound};
+}
+
+/// A possible primary of a target, with its rendezvous score.
+struct scored_pair {
+    std::uint64_t score = 0;
+    std::size_t target = 0;
+    std::size_t instance = 0;
+};
+
+auto score_of(std::string_view target, std::string_view instance) -> std::uint64_t
+{
+    return hash64(instance, hash64(target));
+}
+
+/// Pairs of every target with every instance, best score first.
+auto scored_pairs(std::span<const gate_party> all_targets, std::span<const std::size_t> targets,
+                  std::span<const gate_party> all_instances, std::span<const std::size_t> instances)
+    -> std::vector<scored_pair>
+{
+    auto pairs = std::vector<scored_pair>{};
+    pairs.reserve(targets.size() * instances.size());
+    for (const auto target : targets) {
+        for (const auto instance : instances) {
+            pairs.push_back(
+                {score_of(all_targets[target].id, all_instances[instance].id), target, instance});
+        }
+    }
+    std::ranges::sort(pairs, [&](const auto& left, const auto& right) {
+        if (left.score != right.score) {
+            return left.score > right.score;
+        }
+        if (left.target != right.target) {
+            return all_targets[left.target].id < all_targets[right.target].id;
+        }
+        return all_instances[left.instance].id < all_instances[right.instance].id;
+    });
+    return pairs;
+}
+
+/// Assigns one pool. Taking the best pairs first gives the stable matching of targets and
+/// instances, which does not depend on any order of the input and changes little with it.
+auto assign_pool(std::span<const gate_party> all_targets, std::span<const std::size_t> targets,
+                 std::span<const gate_party> all_instances, std::span<const std::size_t> instances,
+                 std::vector<gate_assignment>& assigned) -> void
+{
+    const auto room = (targets.size() + instances.size() - 1) / instances.size();
+    auto held = std::vector<std::size_t>(all_instances.size(), 0);
+    const auto pairs = scored_pairs(all_targets, targets, all_instances, instances);
+    for (const auto& pair : pairs) {
+        if (assigned[pair.target].primary.empty() && held[pair.instance] < room) {
+            assigned[pair.target].primary = all_instances[pair.instance].id;
+            ++held[pair.instance];
+        }
+    }
+    for (const auto& pair : pairs) {
+        auto& assignment = assigned[pair.target];
+        const auto& instance = all_instances[pair.instance].id;
+        if (assignment.backup.empty() && assignment.primary != instance) {
+            assignment.backup = instance;
+        }
+    }
+}
+
+auto instances_where(std::span<const gate_party> instances, std::string gate_party::*field,
+                     const std::string& value) -> std::vector<std::size_t>
+{
+    auto found = std::vector<std::size_t>{};
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+        if (instances[index].*field == value) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+auto request_cost(std::uint64_t uncached_prompt_tokens, std::uint64_t output_tokens) -> double
+{
+    return std::ceil(1 + static_cast<double>(uncached_prompt_tokens) / prompt_tokens_per_unit +
+                     static_cast<double>(output_tokens) / output_tokens_per_unit);
+}
+
+auto mean_load(std::span<const engine_view> engines, double cost) -> double
+{
+    auto sum = cost;
+    auto count = std::size_t{0};
+    for (const auto& engine : engines) {
+        if (serves(engine)) {
+            sum += engine.load;
+            ++count;
+        }
+    }
+    return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+auto load_bound(double mean, double cost, const placement_limits& limits) -> double
+{
+    return std::max(cost, std::ceil(limits.multiple * mean) * usable_share(cost, limits));
+}
+
+auto under_bound(const engine_view& engine, double cost, double mean,
+                 const placement_limits& limits) -> bool
+{
+    if (!serves(engine) || engine.load + cost > load_bound(mean, cost, limits)) {
+        return false;
+    }
+    return engine.state == target_state::warm || engine.load + cost <= engine.allowance;
+}
+
+auto preference_order(std::string_view chat, std::span<const engine_view> engines)
+    -> std::vector<std::size_t>
+{
+    const auto seed = hash64(chat);
+    auto scores = std::vector<std::uint64_t>(engines.size());
+    std::ranges::transform(engines, scores.begin(),
+                           [&](const auto& engine) { return hash64(engine.id, seed); });
+    auto order = std::vector<std::size_t>(engines.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::ranges::sort(order, [&](std::size_t left, std::size_t right) {
+        if (scores[left] != scores[right]) {
+            return scores[left] > scores[right];
+        }
+        return engines[left].id < engines[right].id;
+    });
+    return order;
+}
+
+auto choose_engine(const placement_request& request, std::span<const engine_view> engines,
+                   double mean, const placement_limits& limits) -> placement_decision
+{
+    switch (request.policy) {
+    case placement_policy::random:
+        return choose_random(request.random, engines);
+    case placement_policy::least_loaded:
+        return choose_least_loaded(engines);
+    case placement_policy::consistent_hash:
+        return choose_consistent_hash(request.chat, engines);
+    case placement_policy::bounded_load_hash:
+        return choose_bounded_load_hash(request, engines, mean, limits);
+    case placement_policy::cyclamenpost:
+        break;
+    }
+    return choose_by_cache(request, engines, mean, limits);
+}
+
+auto choose_random(std::uint64_t random, std::span<const engine_view> engines) -> placement_decision
+{
+    const auto serving =
+        std::ranges::count_if(engines, [](const auto& engine) { return serves(engine); });
+    if (serving == 0) {
+        return {};
+    }
+    auto skip = random % static_cast<std::uint64_t>(serving);
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (serves(engines[index]) && skip-- == 0) {
+            return baseline(index);
+        }
+    }
+    return {};
+}
+
+auto choose_least_loaded(std::span<const engine_view> engines) -> placement_decision
+{
+    auto serving = std::vector<std::size_t>{};
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (serves(engines[index])) {
+            serving.push_back(index);
+        }
+    }
+    return baseline(least_of(serving, engines));
+}
+
+auto choose_consistent_hash(std::string_view chat, std::span<const engine_view> engines)
+    -> placement_decision
+{
+    const auto order = serving_order(chat, engines);
+    return baseline(first_of(order, [](std::size_t) { return true; }));
+}
+
+auto choose_bounded_load_hash(const placement_request& request,
+                              std::span<const engine_view> engines, double mean,
+                              const placement_limits& limits) -> placement_decision
+{
+    const auto order = serving_order(request.chat, engines);
+    const auto bound = std::max(request.cost, std::ceil(limits.multiple * mean));
+    const auto found = first_of(
+        order, [&](std::size_t index) { return engines[index].load + request.cost <= bound; });
+    return baseline(found ? found : least_of(order, engines));
+}
+
+auto migration_pays(std::uint64_t prompt_tokens, double prefill_seconds_per_token,
+                    double transfer_seconds) -> bool
+{
+    return static_cast<double>(prompt_tokens) * prefill_seconds_per_token > transfer_seconds;
+}
+
+auto assign_gates(std::span<const gate_party> targets, std::span<const gate_party> instances)
+    -> std::vector<gate_assignment>
+{
+    auto assigned = std::vector<gate_assignment>(targets.size());
+    auto zones = std::map<std::pair<std::string, std::string>, std::vector<std::size_t>>{};
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        assigned[index].target = targets[index].id;
+        zones[{targets[index].region, targets[index].zone}].push_back(index);
+    }
+    for (const auto& [place, members] : zones) {
+        auto pool = instances_where(instances, &gate_party::zone, place.second);
+        if (pool.empty()) {
+            pool = instances_where(instances, &gate_party::region, place.first);
+        }
+        if (!pool.empty()) {
+            assign_pool(targets, members, instances, pool, assigned);
+        }
+    }
+    return assigned;
+}
+
+} // namespace cyclamenpost
