--- /dev/null
+++ b/fakes/lib/prefix_cache.cpp
@@ -0,0 +1,60 @@
+#include "prefix_cache.hpp"
+
+#include <utility>
+
+#include "cyclamenpost/types.hpp"
+
+namespace cyclamenpost::fakes {
+
+prefix_cache::prefix_cache(std::size_t capacity) : capacity_(capacity) {}
+
+auto prefix_cache::matched(const std::vector<std::uint64_t>& prefixes) const -> std::size_t
+{
+    auto count = std::size_t{0};
+    while (count < prefixes.size() && index_.contains(prefixes[count])) {
+        ++count;
+    }
+    return count;
+}
+
+auto prefix_cache::store(const std::vector<std::uint64_t>& prefixes) -> void
+{
+    for (const auto prefix : prefixes) {
+        const auto found = index_.find(prefix);
+        if (found != index_.end()) {
+            order_.splice(order_.begin(), order_, found->second);
+            continue;
+        }
+        order_.push_front(prefix);
+        index_[prefix] = order_.begin();
+        changes_.stored.push_back(to_hex(prefix));
+    }
+    while (order_.size() > capacity_) {
+        changes_.evicted.push_back(to_hex(order_.back()));
+        index_.erase(order_.back());
+        order_.pop_back();
+    }
+}
+
+auto prefix_cache::clear() -> void
+{
+    order_.clear();
+    index_.clear();
+    changes_ = {};
+}
+
+auto prefix_cache::entries() const -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    for (const auto prefix : order_) {
+        names.push_back(to_hex(prefix));
+    }
+    return names;
+}
+
+auto prefix_cache::take_changes() -> changes
+{
+    return std::exchange(changes_, {});
+}
+
+} // namespace cyclamenpost::fakes
