--- /dev/null
+++ b/include/cyclamenpost/instance_list.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cyclamenpost/config_state.hpp"
+
+namespace cyclamenpost {
+
+/// Whether a listed instance or target stays.
+enum class listed_state { live, leaving };
+
+inline constexpr std::array listed_state_names{
+    enum_name<listed_state>{listed_state::live, "live"},
+    enum_name<listed_state>{listed_state::leaving, "leaving"},
+};
+
+/// An entry instance in the published list.
+struct listed_instance {
+    std::string id;
+    std::string zone;
+    std::string region;
+    /// "IP:port" of the callers' listener.
+    std::string http;
+    /// "IP:port" of the message bus.
+    std::string bus;
+    listed_state state = listed_state::live;
+
+    auto operator==(const listed_instance&) const -> bool = default;
+};
+
+/// A target in the published list.
+struct listed_target {
+    std::string id;
+    std::string zone;
+    std::string region;
+    std::string address;
+    std::string service;
+    service_kind kind = service_kind::application;
+    listed_state state = listed_state::live;
+
+    auto operator==(const listed_target&) const -> bool = default;
+};
+
+/// The platform's list of instances and targets.
+struct instance_list {
+    std::uint64_t version = 0;
+    std::vector<listed_instance> instances;
+    std::vector<listed_target> targets;
+};
+
+/// Parses the platform's JSON. Unknown fields are ignored; an absent state means live. Fails with
+/// `platform_answer_invalid` for anything incomplete, for duplicate ids and for oversized lists.
+auto parse_instance_list(std::string_view json) -> result<instance_list>;
+
+/// Formats a list as the platform publishes it.
+auto to_json(const instance_list& list) -> std::string;
+
+/// The published list in force at one instance.
+struct list_state {
+    text_history texts;
+    /// Null until the first list was applied.
+    std::shared_ptr<const instance_list> list;
+    /// Newest last.
+    std::deque<refused_version> refused;
+};
+
+/// Decides whether an offered list version should be fetched (`wanted`).
+auto consider_list_offer(const list_state& state, text_version offered) -> offer_result;
+
+/// Puts a list in force if its version is higher than the current one, or equal with a larger
+/// digest. A list that cannot be parsed is refused.
+auto offer_list(list_state& state, std::string json) -> offer_result;
+
+/// The listed instance with the given id, or a null pointer.
+auto instance_by_id(const instance_list& list, std::string_view id) -> const listed_instance*;
+
+/// Ids of a zone's listed instances, sorted. With `only_live`, those that are not leaving.
+auto instances_of_zone(const instance_list& list, std::string_view zone, bool only_live = true)
+    -> std::vector<std::string>;
+
+/// Zones that the list names for instances or targets, sorted.
+auto zones_of(const instance_list& list) -> std::vector<std::string>;
+
+/// Region of a zone, or an empty string.
+auto region_of_zone(const instance_list& list, std::string_view zone) -> std::string;
+
+/// A target to which requests may go, from the operator text or the published list.
+struct fleet_target {
+    target_config target;
+    std::string region;
+    service_kind kind = service_kind::application;
+    listed_state state = listed_state::live;
+
+    auto operator==(const fleet_target&) const -> bool = default;
+};
+
+/// All targets, sorted by name. The operator text's entry takes precedence over a listed target of
+/// the same name, but the list's state applies. Listed targets of unknown services are left out.
+auto targets_in_force(const fleet_config& config, const instance_list& list)
+    -> std::vector<fleet_target>;
+
+} // namespace cyclamenpost
