Add the gate of a target

Cause: no target may carry more than its bound while instances, lists and messages fail. Change: permits, load bound, cold start, primary and backup leases, takeover after a list change, handover, pauses and zones out, as pure functions over one struct per target. A new primary waits until every possible former pair is broken up; the wait alone would let two pairs on different lists both hold acknowledged leases. Conclusion: interfaces changed from the declared headers: lease_message carries the target's state and whether the takeover is complete.

--- a/include/cyclamenpost/gate.hpp
+++ b/include/cyclamenpost/gate.hpp
@@ -84,13 +84,17 @@
     std::string holder;
     incarnation_id holder_incarnation = 0;
     time_point granted;
+    bool holder_dead = false;
 };
 
-/// A former holder of the gate that has not yet confirmed the current list.
+/// An instance that may have held the gate under an earlier list.
 struct former_holder {
     std::string id;
-    /// Whether the new list still names it.
+    /// Whether the new list still names it. One that it no longer names is presumed dead as far as
+    /// the full bound is concerned, but not for cold targets.
     bool listed = true;
+    /// Until then it gives no permits, because it acknowledged a lease of this gate as its backup.
+    time_point quiet_until;
 };
 
 /// A lease message on its way to the backup.
@@ -99,6 +103,12 @@
     time_point sent;
 };
 
+/// A permit that ended recently; the target's lagged reports may still count it.
+struct ended_permit {
+    double cost = 0;
+    time_point ended;
+};
+
 /// State of one target's gate at one instance. Change it only through the functions below.
 struct gate {
     std::string target;
@@ -115,44 +125,50 @@
     time_point half_from;
     time_point full_from;
     time_point cold_from;
-    /// When the current list version was applied here.
-    time_point changed;
+    /// Possible former holders that have not confirmed the current list, and how many of them must
+    /// confirm it before a cold target gets work.
     std::vector<former_holder> former;
-    std::size_t former_count = 0;
+    std::size_t words_needed = 0;
+    /// When a former holder that never confirmed the list has stopped by itself.
+    time_point former_end;
 
     /// End of the lease that the backup acknowledged, on the primary's clock.
     time_point lease_until;
+    /// The process paused since the last acknowledgement, so the lease does not count.
+    bool lease_void = true;
     std::uint64_t next_term = 1;
     std::vector<sent_lease> leases;
     /// Time of the last lease that this backup acknowledged.
     time_point last_acknowledged;
-
     time_point last_tick;
 
     target_state state = target_state::cold;
     std::optional<incarnation_id> target_incarnation;
+    /// Whether this gate has seen the target start or lose its stream.
+    bool start_seen = false;
     bool zone_out = false;
     bool leaving = false;
     /// Requests that a cold or warming target may carry.
     double allowance = 1;
-    std::uint64_t completed_in_step = 0;
+    double completed_in_step = 0;
     time_point last_increase;
     time_point hold_down_until;
     duration hold_down{};
-    time_point last_cold;
+    std::optional<time_point> last_start;
 
     std::unordered_map<std::uint64_t, permit> permits;
+    std::vector<ended_permit> ended;
     double outstanding_cost = 0;
-    /// Load at the target that this gate gave no permit for.
+    /// Load at the target that this gate gave no permit for, in cost units and in requests.
     double foreign_cost = 0;
     double foreign_requests = 0;
-    double released_cost = 0;
-    double released_requests = 0;
-    time_point released_since;
-    double reported_cost = 0;
-    double reported_requests = 0;
+    /// Until this time foreign requests may still start, so their count does not fall.
+    time_point foreign_until;
     std::optional<time_point> last_report;
-    /// Latest grant for the target's current or former incarnation.
+    /// Reports that arrive before this time may have been buffered during a pause.
+    time_point report_after;
+    /// A cold target gets work only after a load report that arrived later than this.
+    time_point cold_report_after;
     time_point last_grant;
 
     double fleet_mean = 0;
@@ -205,10 +221,15 @@
     std::vector<former_holder> former;
 };
 
-/// A lease that the primary sends to the backup and to former holders.
+/// A lease that the primary sends to the backup and to former holders. The target's state lets the
+/// backup know a target that has warmed up; 0 and `cold` when not sent.
 struct lease_message {
     std::uint64_t term = 0;
     std::uint64_t list_version = 0;
+    incarnation_id target_incarnation = 0;
+    target_state state = target_state::cold;
+    /// The primary's takeover is complete, so the backup may use its half when leases stop.
+    bool takeover_done = false;
 };
 
 /// The answer to a lease. `acknowledged` is the backup's promise to give no permits for the lease's
@@ -233,65 +254,69 @@
     -> gate;
 
 /// Grants a permit or refuses it. A repeated request id gets the earlier permit again.
-auto request_permit(gate& gate, const permit_request& request, time_point now) -> permit_decision;
+auto request_permit(gate& state, const permit_request& request, time_point now) -> permit_decision;
 
-/// Whether a permit granted here may still be used, for a check just before the bytes are sent.
-auto permit_valid(const gate& gate, std::uint64_t request_id, incarnation_id target_incarnation,
+/// Whether a permit may still be used by the holder that asked for it at `requested`, on the
+/// holder's clock. For a check just before the bytes are sent.
+auto permit_in_time(time_point requested, time_point now, const gate_limits& limits) -> bool;
+
+/// Like `permit_in_time` for a permit of this instance's own gate; also checks that it is not void.
+auto permit_valid(const gate& state, std::uint64_t request_id, incarnation_id target_incarnation,
                   time_point requested, time_point now) -> bool;
 
 /// Ends a permit. Unknown ids are ignored, so a repeated release has no effect.
-auto release_permit(gate& gate, std::uint64_t request_id, permit_end end, time_point now) -> void;
+auto release_permit(gate& state, std::uint64_t request_id, permit_end end, time_point now) -> void;
 
 /// Takes in a load report; a new incarnation makes the target cold and voids its permits.
-auto on_load_report(gate& gate, const load_report& report, time_point now) -> void;
+auto on_load_report(gate& state, const load_report& report, time_point now) -> void;
 
 /// The target's event stream closed: the target is cold and all permits are void.
-auto on_stream_closed(gate& gate, time_point now) -> void;
+auto on_stream_closed(gate& state, time_point now) -> void;
 
 /// Takes in the mean load per engine of the fleet, and of the engines whose gates are held here.
-auto on_mean(gate& gate, double fleet_mean, double own_mean, time_point mean_at) -> void;
+auto on_mean(gate& state, double fleet_mean, double own_mean, time_point mean_at) -> void;
 
 /// Starts a lease when one is due; the caller sends it to the backup and all former holders.
-auto start_lease(gate& gate, time_point now) -> std::optional<lease_message>;
+auto start_lease(gate& state, time_point now) -> std::optional<lease_message>;
 
 /// Answers a lease from instance `from`.
-auto on_lease_request(gate& gate, std::string_view from, const lease_message& lease, time_point now)
-    -> lease_answer;
+auto on_lease_request(gate& state, std::string_view from, const lease_message& lease,
+                      time_point now) -> lease_answer;
 
 /// Takes in the answer to a lease.
-auto on_lease_ack(gate& gate, std::string_view from, const lease_answer& answer, time_point now)
+auto on_lease_ack(gate& state, std::string_view from, const lease_answer& answer, time_point now)
     -> void;
 
 /// Applies a new list version. A lower or equal version has no effect.
-auto on_list_change(gate& gate, const list_change& change, time_point now) -> void;
+auto on_list_change(gate& state, const list_change& change, time_point now) -> void;
 
 /// The platform, or a peer in contact with it, confirmed that the list is current.
-auto on_list_confirmed(gate& gate, time_point now) -> void;
+auto on_list_confirmed(gate& state, time_point now) -> void;
 
 /// Ends this gate's right to give permits and returns the state for the new primary.
-auto hand_over(gate& gate, time_point now) -> gate_state;
+auto hand_over(gate& state, time_point now) -> gate_state;
 
-/// Takes over from the former primary `from`, without a wait.
-auto on_handover(gate& gate, std::string_view from, const gate_state& state, time_point now)
+/// Takes over from the former primary `from` without a wait. A backup may use its half at once.
+auto on_handover(gate& state, std::string_view from, const gate_state& handed, time_point now)
     -> void;
 
 /// Voids nothing, but lets the next load reports reclaim the permits of a dead holder.
-auto on_holder_dead(gate& gate, std::string_view holder, incarnation_id incarnation, time_point now)
-    -> void;
+auto on_holder_dead(gate& state, std::string_view holder, incarnation_id incarnation,
+                    time_point now) -> void;
 
 /// Takes the target's zone out or returns it. A returned target starts with a small allowance.
-auto on_zone_out(gate& gate, bool out, time_point now) -> void;
+auto on_zone_out(gate& state, bool out, time_point now) -> void;
 
 /// The list or the target says that the target leaves.
-auto on_target_leaving(gate& gate, bool leaving) -> void;
+auto on_target_leaving(gate& state, bool leaving) -> void;
 
 /// Checks for pauses, missing heartbeats and ended leases. Call it at every loop iteration.
-auto on_tick(gate& gate, time_point now) -> void;
+auto on_tick(gate& state, time_point now) -> void;
 
 /// Load counted at the target, in cost units.
-auto gate_load(const gate& gate) -> double;
+auto gate_load(const gate& state) -> double;
 
 /// Highest load for a request of this cost at this time, in cost units.
-auto gate_bound(const gate& gate, double cost, time_point now) -> double;
+auto gate_bound(const gate& state, double cost, time_point now) -> double;
 
 } // namespace cyclamenpost
