--- a/include/cyclamenpost/gate.hpp
+++ b/include/cyclamenpost/gate.hpp
@@ -144,6 +144,7 @@
 
     target_state state = target_state::cold;
     std::optional<incarnation_id> target_incarnation;
+    target_state reported_state = target_state::cold;
     /// Whether this gate has seen the target start or lose its stream.
     bool start_seen = false;
     bool zone_out = false;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -352,15 +352,19 @@
 {
     on_tick(state, now);
     adopt_incarnation(state, report, now);
-    if (now >= state.report_after) {
-        state.last_report = now;
-    }
     if (report.state == target_state::leaving) {
         state.leaving = true;
     }
-    if (report.state == target_state::cold && state.state == target_state::warm) {
+    const auto turned_cold =
+        report.state == target_state::cold && state.reported_state == target_state::warm;
+    if (turned_cold && state.state == target_state::warm) {
         reset_allowance(state, now);
     }
+    state.reported_state = report.state;
+    if (now < state.report_after) {
+        return;
+    }
+    state.last_report = now;
     reclaim_permits(state, report, now);
     update_foreign(state, report, now);
 }
--- a/src/gate_lease.cpp
+++ b/src/gate_lease.cpp
@@ -185,7 +185,9 @@
     state.list_version = change.version;
     state.list_confirmed = now;
     if (earlier == state.role && same_primary) {
-        add_former(state, change, now);
+        if (state.role == gate_role::primary) {
+            add_former(state, change, now);
+        }
         return;
     }
     state.former = change.former;
