--- /dev/null
+++ b/tests/unit-problem.cpp
@@ -0,0 +1,88 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "cyclamenpost/problem.hpp"
+
+using namespace cyclamenpost;
+
+namespace {
+
+constexpr auto last_refusal = static_cast<int>(refusal::record_table_full);
+
+} // namespace
+
+TEST_CASE("every refusal has a name of its own that leads back to it")
+{
+    auto names = std::set<std::string_view>{};
+    for (auto i = 0; i <= last_refusal; ++i) {
+        const auto reason = static_cast<refusal>(i);
+        const auto& meaning = meaning_of(reason);
+        CAPTURE(meaning.name);
+        CHECK(meaning.reason == reason);
+        CHECK(refusal_from_name(meaning.name) == reason);
+        CHECK(names.insert(meaning.name).second);
+        CHECK(meaning.status >= 400);
+        CHECK(meaning.status < 600);
+    }
+    CHECK(!refusal_from_name("no such reason"));
+}
+
+TEST_CASE("a reason after which the request can have run never claims not_run")
+{
+    for (const auto reason :
+         {refusal::crash_suspect, refusal::target_lost, refusal::answer_truncated,
+          refusal::key_expired, refusal::owner_ended, refusal::owner_unknown,
+          refusal::outcome_unknown, refusal::order_known, refusal::order_in_progress,
+          refusal::order_not_remembered, refusal::retry_budget_spent, refusal::body_differs}) {
+        CAPTURE(meaning_of(reason).name);
+        CHECK(make_problem(reason, "").request_outcome == outcome::unknown);
+    }
+    CHECK(make_problem(refusal::deadline_passed, "").request_outcome == outcome::not_run);
+    CHECK(make_problem_after_send(refusal::deadline_passed, "").request_outcome ==
+          outcome::unknown);
+}
+
+TEST_CASE("a document survives a round trip through its text")
+{
+    auto sent = make_problem(refusal::wrong_owner, "line \"one\"\n", 1500,
+                             {{"127.0.0.1:8101", "a", "i1"}, {"127.0.0.1:8102", "b", "i2"}});
+    sent.earlier = earlier_answer{201, "{\"run\":7}"};
+    const auto read = parse_problem(to_json(sent));
+    REQUIRE(read);
+    CHECK(read->reason == sent.reason);
+    CHECK(read->request_outcome == outcome::not_run);
+    CHECK(read->status == 421);
+    CHECK(read->detail == sent.detail);
+    CHECK(read->retry_after_ms == 1500);
+    REQUIRE(read->alternatives.size() == 2);
+    CHECK(read->alternatives[1].address == "127.0.0.1:8102");
+    CHECK(read->alternatives[1].zone == "b");
+    CHECK(read->earlier->body == "{\"run\":7}");
+}
+
+TEST_CASE("a detail that is not UTF-8 does not prevent the refusal")
+{
+    const auto read = parse_problem(to_json(make_problem(refusal::no_target, "a\xff\xfe z")));
+    REQUIRE(read);
+    CHECK(read->reason == refusal::no_target);
+}
+
+TEST_CASE("malformed documents are rejected instead of read as a default outcome")
+{
+    for (const auto* text : {"", "[]", "{", "{\"reason\":\"no_target\"}",
+                             "{\"reason\":\"no_target\",\"outcome\":\"ran\"}",
+                             "{\"reason\":7,\"outcome\":\"not_run\"}"}) {
+        CAPTURE(text);
+        CHECK(!parse_problem(text));
+    }
+}
+
+TEST_CASE("Retry-After never asks the caller back too early")
+{
+    CHECK(retry_after_seconds(0) == 0);
+    CHECK(retry_after_seconds(1) == 1);
+    CHECK(retry_after_seconds(1000) == 1);
+    CHECK(retry_after_seconds(1001) == 2);
+    CHECK(retry_after_seconds(-5) == 0);
+}
--- /dev/null
+++ b/tests/unit-retries.cpp
@@ -0,0 +1,201 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "cyclamenpost/retries.hpp"
+#include "seeded_check.hpp"
+
+using namespace cyclamenpost;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto at(duration since) -> time_point
+{
+    return time_point{1000s} + since;
+}
+
+auto strike_by(std::string target, incarnation_id incarnation, std::uint64_t fingerprint = 1)
+    -> strike
+{
+    return {fingerprint, std::move(target), incarnation};
+}
+
+} // namespace
+
+TEST_CASE("a quiet instance may retry one request a second on average")
+{
+    auto budget = retry_budget{};
+    for (auto i = 0; i < 10; ++i) {
+        CHECK(spend_retry(budget, at(0s)));
+    }
+    CHECK(!spend_retry(budget, at(0s)));
+    CHECK(!spend_retry(budget, at(10s)));
+    CHECK(spend_retry(budget, at(11s)));
+}
+
+TEST_CASE("traffic of more than ten seconds ago no longer pays for retries")
+{
+    auto budget = retry_budget{};
+    for (auto i = 0; i < 1000; ++i) {
+        count_first_attempt(budget, at(0s));
+    }
+    CHECK(retries_left(budget, at(9s)) == 110);
+    CHECK(retries_left(budget, at(10s)) == 10);
+}
+
+TEST_CASE("retries in any ten seconds stay within a tenth of the first attempts plus ten")
+{
+    testing::seeded_check(3, 200, [] {
+        auto budget = retry_budget{};
+        auto firsts = std::deque<time_point>{};
+        auto retries = std::deque<time_point>{};
+        auto now = at(0s);
+        const auto forget = [&](std::deque<time_point>& times) {
+            while (!times.empty() && times.front() <= now - 10s) {
+                times.pop_front();
+            }
+        };
+        for (auto i = 0; i < 400; ++i) {
+            now += std::chrono::milliseconds{*rc::gen::inRange(0, 200)};
+            forget(firsts);
+            forget(retries);
+            if (*rc::gen::inRange(0, 3) > 0) {
+                count_first_attempt(budget, now);
+                firsts.push_back(now);
+            }
+            else if (spend_retry(budget, now)) {
+                retries.push_back(now);
+                RC_ASSERT(static_cast<double>(retries.size()) <=
+                          0.1 * static_cast<double>(firsts.size()) + 10.0);
+            }
+        }
+    });
+}
+
+TEST_CASE("only repeatable calls without an answer are hedged, after p95 and before the deadline")
+{
+    auto attempt = hedge_input{};
+    attempt.repeatable = true;
+    attempt.sent = at(0s);
+    attempt.p95 = 300ms;
+    attempt.observations = 1000;
+    CHECK(hedge_at(attempt) == at(300ms));
+    auto other = attempt;
+    other.repeatable = false;
+    CHECK(!hedge_at(other));
+    other = attempt;
+    other.answer_started = true;
+    CHECK(!hedge_at(other));
+    other = attempt;
+    other.hedged_already = true;
+    CHECK(!hedge_at(other));
+    other = attempt;
+    other.observations = 5;
+    CHECK(!hedge_at(other));
+    other = attempt;
+    other.deadline = at(300ms);
+    CHECK(!hedge_at(other));
+    other.p95 = 0ms;
+    CHECK(hedge_at(other) == at(10ms));
+}
+
+TEST_CASE("a call that may not be repeated is retried only while none of it was sent")
+{
+    auto budget = retry_budget{};
+    auto attempt = retry_input{};
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::retry);
+    attempt.sent = true;
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::not_repeatable);
+    attempt.repeatable = true;
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::retry);
+    attempt.deadline = at(1s);
+    attempt.expected = 1s;
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::deadline_passed);
+    attempt.attempts = max_attempts;
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::attempts_used);
+    attempt.answer_started = true;
+    CHECK(decide_retry(budget, attempt, at(0s)) == retry_verdict::answer_started);
+    // only the two verdicts for a retry took from the budget
+    CHECK(retries_left(budget, at(0s)) == 8);
+}
+
+TEST_CASE("a deadline shrinks on its way and extreme values do not overflow")
+{
+    const auto deadline = deadline_from_header("1500", at(0s));
+    REQUIRE(deadline);
+    CHECK(deadline_header(*deadline, at(400us)) == "1499");
+    CHECK(deadline_header(*deadline, at(2s)) == "0");
+    CHECK(deadline_allows(deadline, at(0s), 1499ms));
+    CHECK(!deadline_allows(deadline, at(0s), 1500ms));
+    CHECK(deadline_allows(std::nullopt, at(0s), 1h));
+    CHECK(deadline_from_header("-3", at(0s)) == at(0s));
+    CHECK(deadline_from_header("9223372036854775807", at(0s)) == at(24h));
+    CHECK(!deadline_from_header("", at(0s)));
+    CHECK(!deadline_from_header("12x", at(0s)));
+}
+
+TEST_CASE("the wait before a retry is spread over a bounded interval")
+{
+    CHECK(retry_delay(1, 0.0) == 0ms);
+    CHECK(retry_delay(1, 0.5) == 25ms);
+    CHECK(retry_delay(100, 1.0) == 400ms);
+}
+
+TEST_CASE("content is stopped by strikes from two incarnations, not by two reports of one death")
+{
+    auto table = suspect_table{};
+    CHECK(standing(table, 1, at(0s)) == suspicion::none);
+    CHECK(add_strike(table, strike_by("e1", 5), at(0s)));
+    CHECK(!add_strike(table, strike_by("e1", 5), at(1s)));
+    CHECK(standing(table, 1, at(1s)) == suspicion::suspect);
+    CHECK(add_strike(table, strike_by("e1", 6), at(2s)));
+    CHECK(standing(table, 1, at(2s)) == suspicion::stopped);
+    CHECK(standing(table, 2, at(2s)) == suspicion::none);
+}
+
+TEST_CASE("a completed suspect is cleared and late copies of its strikes do not count again")
+{
+    auto table = suspect_table{};
+    add_strike(table, strike_by("e1", 5), at(0s));
+    CHECK(clear_strikes(table, 1, at(1s)));
+    CHECK(!clear_strikes(table, 1, at(1s)));
+    CHECK(!add_strike(table, strike_by("e1", 5), at(2s)));
+    CHECK(standing(table, 1, at(2s)) == suspicion::none);
+    CHECK(add_strike(table, strike_by("e2", 9), at(3s)));
+    CHECK(standing(table, 1, at(3s)) == suspicion::suspect);
+}
+
+TEST_CASE("strikes expire after ten minutes, each on its own")
+{
+    auto table = suspect_table{};
+    add_strike(table, strike_by("e1", 5), at(0s));
+    add_strike(table, strike_by("e2", 5), at(5min));
+    CHECK(standing(table, 1, at(9min)) == suspicion::stopped);
+    CHECK(standing(table, 1, at(10min)) == suspicion::suspect);
+    CHECK(standing(table, 1, at(15min)) == suspicion::none);
+    expire_strikes(table, at(15min));
+    CHECK(table.suspects.empty());
+    CHECK(table.expiry.empty());
+}
+
+TEST_CASE("the table of suspects stays bounded and drops the oldest")
+{
+    auto table = suspect_table{};
+    table.settings.max_suspects = 100;
+    for (auto i = std::uint64_t{0}; i < 1000; ++i) {
+        add_strike(table, strike_by("e1", 5, i), at(std::chrono::milliseconds{i}));
+    }
+    CHECK(table.suspects.size() == 100);
+    CHECK(table.expiry.size() == 100);
+    CHECK(standing(table, 999, at(1s)) == suspicion::suspect);
+    CHECK(standing(table, 0, at(1s)) == suspicion::none);
+}
+
+TEST_CASE("a suspect runs where no other suspect runs, and an unsuspected request anywhere")
+{
+    CHECK(isolation_allows(suspicion::none, 3));
+    CHECK(isolation_allows(suspicion::suspect, 0));
+    CHECK(!isolation_allows(suspicion::suspect, 1));
+    CHECK(!isolation_allows(suspicion::stopped, 0));
+}
