--- a/include/cyclamenpost/limits.hpp
+++ b/include/cyclamenpost/limits.hpp
@@ -48,8 +48,7 @@
     std::size_t max_queued = 4096;
     /// Queued requests of one organisation.
     std::size_t max_queued_per_organisation = 1024;
-    /// Cost an organisation of weight 1 may start per round. One unit keeps the longest wait
-    /// between two organisations to about one request.
+    /// Cost an organisation of weight 1 may start per turn.
     std::uint64_t quantum = 4;
     /// Share of organisations the operator text does not name.
     organisation_share default_share;
@@ -64,16 +63,23 @@
     std::uint64_t deficit = 0;
     std::uint32_t running = 0;
     bool granted_this_turn = false;
+    /// Named in `fresh` or `turns`.
+    bool listed = false;
 };
 
 } // namespace detail
 
-/// Queues of all organisations with deficit round robin (Shreedhar and Varghese 1995).
+/// Queues of all organisations with deficit round robin (Shreedhar and Varghese 1995). An
+/// organisation that begins to queue has its first turn before the others, as in DRR++ (MacGregor
+/// and Shi 2000), so a small one waits for one request to end and not for a whole round. It stays
+/// listed until its next turn even when its queue is empty, so it cannot be first twice in a round.
 struct fair_queue {
     queue_settings settings;
     std::unordered_map<std::string, organisation_share> shares;
     std::unordered_map<std::string, detail::organisation_queue> organisations;
-    /// Organisations with queued work, the one whose turn it is first.
+    /// Organisations before their first turn.
+    std::list<std::string> fresh;
+    /// Organisations in the order of their turns.
     std::list<std::string> turns;
     std::unordered_map<std::uint64_t, std::pair<std::string, std::list<queued_work>::iterator>>
         by_id;
--- a/src/limits.cpp
+++ b/src/limits.cpp
@@ -42,18 +42,35 @@
     return work.deadline ? std::min(limit, *work.deadline) : limit;
 }
 
-// forgets an organisation without queued or running work, which bounds the table
-auto forget_if_idle(fair_queue& queue, const std::string& organisation) -> void
+auto erase_if_idle(fair_queue& queue, const std::string& organisation) -> void
 {
-    const auto found = queue.organisations.find(organisation);
-    if (found == queue.organisations.end() || queue_length(found->second) > 0) {
+    const auto& one = queue.organisations.at(organisation);
+    if (!one.listed && one.running == 0 && queue_length(one) == 0) {
+        queue.organisations.erase(organisation);
+    }
+}
+
+auto unlist_front(fair_queue& queue, std::list<std::string>& list) -> void
+{
+    const auto name = std::move(list.front());
+    list.pop_front();
+    auto& one = queue.organisations.at(name);
+    one.listed = false;
+    one.deficit = 0;
+    one.granted_this_turn = false;
+    erase_if_idle(queue, name);
+}
+
+// with nothing queued no organisation has to wait for a turn
+auto unlist_all_if_drained(fair_queue& queue) -> void
+{
+    if (!queue.by_id.empty()) {
         return;
     }
-    queue.turns.remove(organisation);
-    found->second.deficit = 0;
-    found->second.granted_this_turn = false;
-    if (found->second.running == 0) {
-        queue.organisations.erase(found);
+    for (auto* list : {&queue.fresh, &queue.turns}) {
+        while (!list->empty()) {
+            unlist_front(queue, *list);
+        }
     }
 }
 
@@ -67,7 +84,7 @@
     list_for(one, work.kind).erase(position);
     queue.expiry.erase({expires_at(queue.settings, work), id});
     queue.by_id.erase(entry);
-    forget_if_idle(queue, organisation);
+    unlist_all_if_drained(queue);
     return work;
 }
 
@@ -81,9 +98,8 @@
 {
     const std::string* longest = nullptr;
     auto most = 0.0;
-    for (const auto& name : queue.turns) {
-        const auto length =
-            length_by_weight(queue, name, queue_length(queue.organisations.at(name)));
+    for (const auto& [name, one] : queue.organisations) {
+        const auto length = length_by_weight(queue, name, queue_length(one));
         if (length > most) {
             most = length;
             longest = &name;
@@ -136,8 +152,9 @@
 auto append_work(fair_queue& queue, queued_work work) -> void
 {
     auto& one = queue.organisations[work.organisation];
-    if (queue_length(one) == 0) {
-        queue.turns.push_back(work.organisation);
+    if (!one.listed) {
+        one.listed = true;
+        queue.fresh.push_back(work.organisation);
     }
     const auto id = work.id;
     const auto organisation = work.organisation;
@@ -158,10 +175,10 @@
     return nullptr;
 }
 
-auto end_turn(fair_queue& queue, organisation_queue& one) -> void
+auto end_turn(fair_queue& queue, std::list<std::string>& list, organisation_queue& one) -> void
 {
     one.granted_this_turn = false;
-    queue.turns.splice(queue.turns.end(), queue.turns, queue.turns.begin());
+    queue.turns.splice(queue.turns.end(), list, list.begin());
 }
 
 auto grant_turn(const fair_queue& queue, const std::string& name, organisation_queue& one) -> void
@@ -173,21 +190,23 @@
     one.deficit += queue.settings.quantum * share_of(queue, name).weight;
 }
 
-// Deficit of an organisation that was passed over: at most one head and one quantum, so that
-// it cannot save up turns while it may not start anything.
-auto cap_deficit(const fair_queue& queue, const std::string& name, organisation_queue& one,
-                 std::uint64_t head_cost) -> void
-{
-    const auto quantum = queue.settings.quantum * share_of(queue, name).weight;
-    one.deficit = std::min(one.deficit, head_cost + quantum);
-}
-
 auto head_cost(const organisation_queue& one) -> std::uint64_t
 {
+    if (queue_length(one) == 0) {
+        return 0;
+    }
     const auto& list = one.interactive.empty() ? one.summary : one.interactive;
     return counted_cost(list.front());
 }
 
+// Deficit of an organisation that was passed over: at most one head and one quantum, so that
+// it cannot save up turns while it may not start anything.
+auto cap_deficit(const fair_queue& queue, const std::string& name, organisation_queue& one) -> void
+{
+    const auto quantum = queue.settings.quantum * share_of(queue, name).weight;
+    one.deficit = std::min(one.deficit, head_cost(one) + quantum);
+}
+
 struct turn {
     /// Work that may start now.
     const queued_work* work = nullptr;
@@ -217,7 +236,7 @@
     auto& one = queue.organisations.at(name);
     ++one.running;
     auto work = take_work(queue, id);
-    one.deficit = queue_length(one) == 0 ? 0 : one.deficit - counted_cost(work);
+    one.deficit -= std::min(one.deficit, counted_cost(work));
     return work;
 }
 
@@ -251,7 +270,9 @@
     if (queue.by_id.contains(work.id)) {
         return refuse_work(refusal::request_invalid);
     }
-    if (own_length(queue, work.organisation) >= queue.settings.max_queued_per_organisation) {
+    const auto listed = queue.fresh.size() + queue.turns.size();
+    const auto longest = queue.settings.max_queued_per_organisation;
+    if (own_length(queue, work.organisation) >= longest || listed >= queue.settings.max_queued) {
         return refuse_work(refusal::queue_full);
     }
     auto decision = enqueue_decision{};
@@ -269,23 +290,28 @@
 auto next_work(fair_queue& queue, const fits_now& fits, time_point now)
     -> std::optional<queued_work>
 {
+    const auto startable = [&](const queued_work& work) {
+        return expires_at(queue.settings, work) > now && fits(work);
+    };
     // a full round without an eligible organisation ends the search
     auto passed_over = std::size_t{0};
-    while (!queue.turns.empty() && passed_over < queue.turns.size()) {
-        const auto name = queue.turns.front();
+    while (!queue.fresh.empty() || passed_over < queue.turns.size()) {
+        auto& list = queue.fresh.empty() ? queue.turns : queue.fresh;
+        const auto name = list.front();
         auto& one = queue.organisations.at(name);
-        const auto not_expired = [&](const queued_work& work) {
-            return expires_at(queue.settings, work) > now && fits(work);
-        };
-        const auto chance = take_turn(queue, name, one, not_expired);
+        if (queue_length(one) == 0 && &list == &queue.turns) {
+            unlist_front(queue, list);
+            continue;
+        }
+        const auto chance = take_turn(queue, name, one, startable);
         if (chance.work != nullptr) {
             return start_work(queue, chance.work->id, name);
         }
         passed_over = chance.eligible ? 0 : passed_over + 1;
         if (!chance.eligible) {
-            cap_deficit(queue, name, one, head_cost(one));
+            cap_deficit(queue, name, one);
         }
-        end_turn(queue, one);
+        end_turn(queue, list, one);
     }
     return std::nullopt;
 }
@@ -309,7 +335,7 @@
         return;
     }
     --found->second.running;
-    forget_if_idle(queue, organisation);
+    erase_if_idle(queue, organisation);
 }
 
 auto cancel_work(fair_queue& queue, std::uint64_t id) -> bool
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -131,6 +131,23 @@
     CHECK(cost.at("capped") <= 25);
 }
 
+TEST_CASE("an organisation that queues one request at a time is not first in every round")
+{
+    auto queue = make_fair_queue();
+    fill(queue, "large", 0, 500);
+    auto starts = std::map<std::string, int>{};
+    for (auto i = 0; i < 400; ++i) {
+        const auto id = 1000 + static_cast<std::uint64_t>(i);
+        if (queue.organisations["single"].interactive.empty()) {
+            enqueue_work(queue, work_of(id, "single"), at(0s));
+        }
+        const auto work = next_work(queue, any, at(0s));
+        ++starts[work->organisation];
+        finish_work(queue, work->organisation);
+    }
+    CHECK(starts["large"] >= 196);
+}
+
 TEST_CASE("work that does not fit now does not hold up smaller work of others")
 {
     auto queue = make_fair_queue();
@@ -243,6 +260,7 @@
             finish_work(queue, organisation);
         }
         RC_ASSERT(queue.organisations.empty());
+        RC_ASSERT(queue.fresh.empty());
         RC_ASSERT(queue.turns.empty());
     });
 }
