--- /dev/null
+++ b/include/cyclamenpost/address.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace cyclamenpost {
+
+/// Whether a text is an IPv4 address in dotted decimal form.
+auto is_ip(std::string_view text) -> bool;
+
+/// Whether a text is "IP:port" with an IPv4 address and a port from 1 to 65535.
+auto is_ip_and_port(std::string_view text) -> bool;
+
+} // namespace cyclamenpost
--- a/include/cyclamenpost/fleet_config.hpp
+++ b/include/cyclamenpost/fleet_config.hpp
@@ -15,6 +15,9 @@
 /// Largest operator text in bytes. The platform's service holds no larger value.
 inline constexpr std::size_t fleet_text_max_bytes = 1U << 20U;
 
+/// Problems that are listed of one text, so that checking a wholly wrong text takes bounded time.
+inline constexpr std::size_t max_text_problems = 100;
+
 /// What a service's targets speak: chat completions or plain HTTP.
 enum class service_kind { model, application };
 
@@ -108,8 +111,8 @@
 /// names its line, column and hint. The result depends on the text alone.
 auto parse_fleet_config(std::string_view text) -> result<fleet_config>;
 
-/// Lists all problems of an operator text in the order of their lines. Empty for a valid text. A
-/// syntax error hides the problems behind it.
+/// Lists the problems of an operator text, at most `max_text_problems`, in the order of their
+/// lines. Empty for a valid text. A syntax error hides all others.
 auto check_fleet_config(std::string_view text) -> std::vector<text_problem>;
 
 /// Describes in one sentence each what changes from `before` to `after`.
--- a/include/cyclamenpost/settings.hpp
+++ b/include/cyclamenpost/settings.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cyclamenpost/address.hpp"
 #include "cyclamenpost/error.hpp"
 
 namespace cyclamenpost {
@@ -83,7 +84,4 @@
 /// Name of the environment variable of a flag: "listen-port" gives CYCLAMENPOST_LISTEN_PORT.
 auto variable_name(std::string_view flag) -> std::string;
 
-/// Whether a text is "IP:port" with an IPv4 address and a port from 1 to 65535.
-auto is_ip_and_port(std::string_view text) -> bool;
-
 } // namespace cyclamenpost
