--- /dev/null
+++ b/daemons/cyclamenpostd.cpp
@@ -0,0 +1,53 @@
+#include <iostream>
+
+#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/router.hpp"
+
+using namespace cyclamenpost;
+
+namespace {
+
+constexpr auto exit_usage = 2;
+
+auto serve(const settings& chosen) -> int
+{
+    auto loop = event_loop{chosen.max_connections};
+    auto status = 0;
+    auto instance = router{loop, chosen, [&](int reached) {
+                               status = reached;
+                               loop.stop();
+                           }};
+    const auto watching =
+        try_or([&] { return loop.watch_signals([&](int) { instance.begin_shutdown(); }); },
+               [](const error& failure) { log_error("start", failure); });
+    if (!watching) {
+        return 1;
+    }
+    // other threads inherit the signal mask that watch_signals has set
+    start_logging(chosen.level);
+    log_event(log_level::info, "start",
+              {{"instance", chosen.instance},
+               {"zone", chosen.zone},
+               {"version", CYCLAMENPOST_VERSION},
+               {"listen", chosen.listen_address + ":" + std::to_string(chosen.listen_port)}});
+    instance.start();
+    loop.run();
+    return status;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    auto chosen = settings{};
+    const auto valid = try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(chosen, parse_settings(argc, argv, process_environment()));
+            return {};
+        },
+        [](const error& failure) { std::cerr << describe(failure) << '\n'; });
+    if (!valid) {
+        return exit_usage;
+    }
+    return chosen.help_shown ? 0 : serve(chosen);
+}
--- /dev/null
+++ b/include/cyclamenpost/cluster_node.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+
+#include "cyclamenpost/bus.hpp"
+#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/membership.hpp"
+#include "cyclamenpost/wire.hpp"
+
+namespace cyclamenpost {
+
+/// What the cluster node tells the other parts of the instance.
+struct cluster_handlers {
+    std::function<void(const member_change&)> on_member;
+    std::function<void(const config_sighting&)> on_config_sighting;
+    /// Messages that are not membership's.
+    std::function<void(const wire::envelope&)> on_message;
+};
+
+/// Owns the bus and the member table of an instance and drives membership on the loop.
+class cluster_node {
+public:
+    cluster_node(event_loop& loop, member_record self, bus_settings settings,
+                 membership_settings timing = {});
+
+    /// Binds the bus and starts probing. Fails with `bus_failed`.
+    auto start(cluster_handlers handlers) -> result<void>;
+
+    /// Stops probing.
+    auto stop() -> void;
+
+    /// Sends a message to a member. Returns false when the member is unknown or its queue is full;
+    /// the message is then lost.
+    auto send(const std::string& instance, const wire::envelope& message) -> bool;
+
+    /// Sends a message to an address that is not in the member table yet.
+    auto send_to_address(const std::string& address, const wire::envelope& message) -> bool;
+
+    /// Takes over a published list.
+    auto apply_list(std::uint64_t version, const std::vector<member_record>& listed) -> void;
+
+    /// Announces that this instance is leaving.
+    auto leave() -> void;
+
+    /// Sets the load sums that probes carry.
+    auto set_load(std::vector<model_load> loads) -> void;
+
+    /// Sets the configuration version that probes carry.
+    auto set_config(std::uint64_t version, std::uint64_t digest) -> void;
+
+    /// The member table.
+    auto members() const -> const membership_state&;
+
+    /// This instance's own record.
+    auto self() const -> const member_record&;
+
+    /// Traffic of the bus.
+    auto traffic() const -> bus_counters;
+
+private:
+    auto perform(const membership_step& step) -> void;
+    auto tick() -> void;
+    auto receive(const wire::envelope& message) -> void;
+
+    event_loop& loop_;
+    bus_settings bus_settings_;
+    bus bus_;
+    membership_state state_;
+    std::mt19937_64 random_;
+    cluster_handlers handlers_;
+    timer ticks_;
+};
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/include/cyclamenpost/config_service.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cyclamenpost/cluster_node.hpp"
+#include "cyclamenpost/config_state.hpp"
+#include "cyclamenpost/instance_list.hpp"
+#include "cyclamenpost/platform_client.hpp"
+
+namespace cyclamenpost {
+
+/// What the configuration service tells the other parts of the instance.
+struct config_handlers {
+    /// A new operator text or instance list is in force.
+    std::function<void()> on_applied;
+    /// The platform, or a peer, confirmed that the list in force is current.
+    std::function<void()> on_list_confirmed;
+};
+
+/// Identity and start conditions of the configuration service.
+struct config_options {
+    std::string instance;
+    std::string platform;
+    /// Bus addresses of peers to ask while the platform cannot be reached at start.
+    std::vector<std::string> seed_peers;
+    std::uint64_t seed = 0;
+};
+
+/// Owns the operator text and the instance list in force at this instance, reads them from the
+/// platform and exchanges them with peers.
+class config_service {
+public:
+    config_service(event_loop& loop, cluster_node& cluster, config_options options);
+
+    /// Starts reading the platform.
+    auto start(config_handlers handlers) -> void;
+
+    /// Ends all reading.
+    auto stop() -> void;
+
+    /// Handles an offer, fetch or part. Returns false for another kind of message.
+    auto on_message(const wire::envelope& message) -> bool;
+
+    /// Handles a version that a peer's probe carried.
+    auto on_sighting(const config_sighting& sighting) -> void;
+
+    /// Whether text and list are known well enough to serve.
+    auto ready() const -> bool;
+
+    /// State of the operator text; its `config` is null before the first text.
+    auto text() const -> const config_state&;
+
+    /// State of the instance list; its `list` is null before the first list.
+    auto list() const -> const list_state&;
+
+    /// Calls made to the platform.
+    auto platform_calls() const -> platform_counters;
+
+    /// Whether the last call to the platform succeeded.
+    auto platform_reachable() const -> bool;
+
+private:
+    struct exchange;
+    auto take_text(published_text offered) -> void;
+    auto take_list(std::string json) -> void;
+    auto after_change(published_kind kind) -> void;
+    auto push_offer(published_kind kind) -> void;
+    auto offer_of(published_kind kind) const -> wire::envelope;
+    auto on_offer(const wire::envelope& message) -> void;
+    auto on_fetch(const wire::envelope& message) -> void;
+    auto on_part(const wire::envelope& message) -> void;
+    auto begin_fetch(published_kind kind, const std::string& from, text_version wanted) -> void;
+    auto send_fetch(published_kind kind) -> void;
+    auto history_of(published_kind kind) const -> const text_history&;
+    auto ask_peers() -> void;
+    auto update_watching() -> void;
+
+    event_loop& loop_;
+    cluster_node& cluster_;
+    config_options options_;
+    config_handlers handlers_;
+    config_state text_;
+    list_state list_;
+    catch_up_state catch_up_;
+    std::unique_ptr<platform_client> platform_;
+    std::array<std::shared_ptr<exchange>, 2> transfers_;
+    timer periodic_;
+};
+
+} // namespace cyclamenpost
--- a/include/cyclamenpost/instance_list.hpp
+++ b/include/cyclamenpost/instance_list.hpp
@@ -99,7 +99,8 @@
 };
 
 /// All targets, sorted by name. The operator text's entry takes precedence over a listed target of
-/// the same name or address, but the list's state applies. Listed targets of unknown services are left out.
+/// the same name or address, but the list's state applies. Listed targets of unknown services are
+/// left out.
 auto targets_in_force(const fleet_config& config, const instance_list& list)
     -> std::vector<fleet_target>;
 
--- a/include/cyclamenpost/log.hpp
+++ b/include/cyclamenpost/log.hpp
@@ -8,13 +8,13 @@
 
 namespace cyclamenpost {
 
-/// Severity of a log line.
-enum class log_level { debug, info, warn, error };
+/// Severity of a log line, from most to least detailed.
+enum class log_level { debug, info, warning, error };
 
 inline constexpr std::array log_level_names{
     enum_name<log_level>{log_level::debug, "debug"},
     enum_name<log_level>{log_level::info, "info"},
-    enum_name<log_level>{log_level::warn, "warn"},
+    enum_name<log_level>{log_level::warning, "warning"},
     enum_name<log_level>{log_level::error, "error"},
 };
 
--- a/include/cyclamenpost/settings.hpp
+++ b/include/cyclamenpost/settings.hpp
@@ -8,6 +8,7 @@
 
 #include "cyclamenpost/address.hpp"
 #include "cyclamenpost/error.hpp"
+#include "cyclamenpost/log.hpp"
 
 namespace cyclamenpost {
 
@@ -22,16 +23,6 @@
 /// The environment of this process.
 auto process_environment() -> environment;
 
-/// Log levels, from most to least detailed.
-enum class log_level { debug, info, warning, error };
-
-inline constexpr std::array log_level_names{
-    enum_name<log_level>{log_level::debug, "debug"},
-    enum_name<log_level>{log_level::info, "info"},
-    enum_name<log_level>{log_level::warning, "warning"},
-    enum_name<log_level>{log_level::error, "error"},
-};
-
 /// Settings of the router daemon.
 struct settings {
     std::string instance;
--- /dev/null
+++ b/src/cluster_node.cpp
@@ -0,0 +1,132 @@
+#include "cyclamenpost/cluster_node.hpp"
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds{100};
+
+auto log_change(const member_change& change) -> void
+{
+    const auto before = change.before ? std::string(name_in(member_state_names, *change.before))
+                                      : std::string("unknown");
+    log_event(log_level::info, "member",
+              {{"member", change.member.identity.id},
+               {"incarnation", to_hex(change.member.identity.incarnation)},
+               {"zone", change.member.zone},
+               {"before", before},
+               {"state", std::string(name_in(member_state_names, change.member.state))}});
+}
+
+} // namespace
+
+cluster_node::cluster_node(event_loop& loop, member_record self, bus_settings settings,
+                           membership_settings timing)
+    : loop_(loop),
+      bus_settings_(std::move(settings)),
+      state_(start_membership(timing, std::move(self), monotonic_now())),
+      random_(state_.self.identity.incarnation)
+{}
+
+auto cluster_node::start(cluster_handlers handlers) -> result<void>
+{
+    handlers_ = std::move(handlers);
+    BOOST_LEAF_CHECK(bus_.start(loop_, bus_settings_));
+    bus_.on_message([this](const wire::envelope& message) { receive(message); });
+    bus_.on_zone_lookup([this](const std::string& instance) {
+        const auto member = find_member(state_, instance);
+        return member ? member->zone : std::string{};
+    });
+    ticks_ = loop_.call_every(tick_period, [this] { tick(); });
+    return {};
+}
+
+auto cluster_node::stop() -> void
+{
+    ticks_.reset();
+}
+
+auto cluster_node::send(const std::string& instance, const wire::envelope& message) -> bool
+{
+    const auto member = find_member(state_, instance);
+    if (!member || member->bus.empty()) {
+        return false;
+    }
+    return bus_.send({instance, member->bus, member->zone}, message);
+}
+
+auto cluster_node::send_to_address(const std::string& address, const wire::envelope& message)
+    -> bool
+{
+    return bus_.send({address, address, {}}, message);
+}
+
+auto cluster_node::apply_list(std::uint64_t version, const std::vector<member_record>& listed)
+    -> void
+{
+    perform(apply_instance_list(state_, version, listed, monotonic_now()));
+}
+
+auto cluster_node::leave() -> void
+{
+    perform(announce_leaving(state_, monotonic_now(), random_));
+}
+
+auto cluster_node::set_load(std::vector<model_load> loads) -> void
+{
+    report_load(state_, std::move(loads), monotonic_now());
+}
+
+auto cluster_node::set_config(std::uint64_t version, std::uint64_t digest) -> void
+{
+    set_config_version(state_, version, digest);
+}
+
+auto cluster_node::members() const -> const membership_state&
+{
+    return state_;
+}
+
+auto cluster_node::self() const -> const member_record&
+{
+    return state_.self;
+}
+
+auto cluster_node::traffic() const -> bus_counters
+{
+    return bus_.counters();
+}
+
+auto cluster_node::perform(const membership_step& step) -> void
+{
+    const auto now = monotonic_now();
+    for (const auto& outgoing : step.messages) {
+        bus_.send({outgoing.to, outgoing.address, outgoing.zone}, to_wire(outgoing.message, now));
+    }
+    for (const auto& change : step.changes) {
+        log_change(change);
+        handlers_.on_member(change);
+    }
+    for (const auto& sighting : step.configs) {
+        handlers_.on_config_sighting(sighting);
+    }
+}
+
+auto cluster_node::tick() -> void
+{
+    perform(on_tick(state_, monotonic_now(), random_));
+}
+
+auto cluster_node::receive(const wire::envelope& message) -> void
+{
+    const auto now = monotonic_now();
+    if (const auto incoming = from_wire(message, now)) {
+        perform(on_gossip(state_, *incoming, now, random_));
+        return;
+    }
+    handlers_.on_message(message);
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/gate_service.cpp
@@ -0,0 +1,695 @@
+#include "cyclamenpost/gate_service.hpp"
+
+#include <algorithm>
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_period = 100ms;
+constexpr duration load_report_period = 500ms;
+// a gate across zones answers within a few milliseconds; a later answer would leave little of the
+// permit's life
+constexpr duration permit_answer_timeout = 250ms;
+constexpr duration refusal_memory = 200ms;
+// a run that failed this long before its target's end was not running then
+constexpr duration failed_run_memory = 2s;
+
+auto serves(const fleet_target& target, const std::string& service, const std::string& model)
+    -> bool
+{
+    const auto& models = target.target.models;
+    return target.target.service == service &&
+           (models.empty() || std::find(models.begin(), models.end(), model) != models.end());
+}
+
+auto log_permit(const std::string& target, std::uint64_t request_id, const std::string& holder,
+                double cost, const permit_decision& decision, const gate& gate) -> void
+{
+    log_event(log_level::debug, "permit",
+              {{"request", to_hex(request_id)},
+               {"target", target},
+               {"holder", holder},
+               {"cost", std::to_string(cost)},
+               {"granted", decision.granted ? "yes" : "no"},
+               {"reason", std::string(name_in(refusal_reason_names, decision.reason))},
+               {"load", std::to_string(gate_load(gate))},
+               {"state", std::string(name_in(target_state_names, gate.state))}});
+}
+
+} // namespace
+
+gate_service::gate_service(event_loop& loop, cluster_node& cluster, const config_service& config)
+    : loop_(loop),
+      cluster_(cluster),
+      config_(config),
+      monitor_(loop, {[this](const target_report& report) { on_report(report); },
+                      [this](const cache_report& report) { handlers_.on_cache(report); },
+                      [this](const std::string& target) { on_lost(target); }})
+{}
+
+auto gate_service::start(gate_handlers handlers) -> void
+{
+    handlers_ = std::move(handlers);
+    ticks_ = loop_.call_every(tick_period, [this] { tick(); });
+}
+
+auto gate_service::stop() -> void
+{
+    ticks_.reset();
+    monitor_.watch({});
+}
+
+auto gate_service::limits_of(const fleet_target& target) const -> gate_limits
+{
+    auto limits = gate_limits{};
+    const auto& config = *config_.text().config;
+    limits.multiple = config.fleet.load_multiple;
+    if (const auto* service = service_by_name(config, target.target.service)) {
+        limits.cold_limit = service->cold_limit;
+    }
+    return limits;
+}
+
+auto gate_service::apply() -> void
+{
+    if (!config_.text().config || !config_.list().list) {
+        return;
+    }
+    const auto now = monotonic_now();
+    const auto& config = *config_.text().config;
+    const auto& list = *config_.list().list;
+    auto in_force = std::map<std::string, fleet_target>{};
+    auto parties = std::vector<gate_party>{};
+    for (auto& target : targets_in_force(config, list)) {
+        if (target.kind == service_kind::model) {
+            parties.push_back({target.target.name, target.target.zone, target.region});
+        }
+        in_force.emplace(target.target.name, std::move(target));
+    }
+    auto instances = std::vector<gate_party>{};
+    for (const auto& instance : list.instances) {
+        if (instance.state == listed_state::live) {
+            instances.push_back({instance.id, instance.zone, instance.region});
+        }
+    }
+    targets_ = std::move(in_force);
+    auto assigned = assign_gates(parties, instances);
+    auto previous = std::exchange(assignments_, {});
+    for (auto& assignment : assigned) {
+        const auto name = assignment.target;
+        assignments_.emplace(name, std::move(assignment));
+    }
+    std::erase_if(gates_, [&](const auto& entry) { return !targets_.contains(entry.first); });
+    if (list.version != list_version_) {
+        list_version_ = list.version;
+        apply_roles(now);
+    }
+    for (auto& [name, gate] : gates_) {
+        const auto& target = targets_.at(name);
+        gate.limits = limits_of(target);
+        on_zone_out(gate, zone_is_out(config, target.target.zone), now);
+        on_target_leaving(gate, target.state == listed_state::leaving);
+    }
+    watch_targets();
+    handlers_.on_capacity();
+}
+
+/// Instances of the target's zone that may have held its gate before this process saw a list.
+auto gate_service::former_holders(const std::string& target) const -> std::vector<former_holder>
+{
+    auto former = std::vector<former_holder>{};
+    const auto& list = *config_.list().list;
+    for (const auto& instance : list.instances) {
+        if (instance.zone == targets_.at(target).target.zone &&
+            instance.id != cluster_.self().identity.id) {
+            former.push_back({instance.id, true, {}});
+        }
+    }
+    return former;
+}
+
+auto gate_service::apply_roles(time_point now) -> void
+{
+    const auto& self = cluster_.self().identity.id;
+    for (const auto& [name, assignment] : assignments_) {
+        const auto known = gates_.find(name);
+        const auto involved = assignment.primary == self || assignment.backup == self;
+        if (!involved && known == gates_.end()) {
+            continue;
+        }
+        auto change = list_change{};
+        change.version = list_version_;
+        change.primary = assignment.primary;
+        change.backup = assignment.backup;
+        if (known == gates_.end()) {
+            change.former = former_holders(name);
+        }
+        else {
+            const auto& list = *config_.list().list;
+            for (const auto& id : {known->second.primary, known->second.backup}) {
+                if (!id.empty() && id != self) {
+                    change.former.push_back({id, instance_by_id(list, id) != nullptr, {}});
+                }
+            }
+        }
+        auto& gate =
+            known != gates_.end()
+                ? known->second
+                : gates_.emplace(name, make_gate(name, self, limits_of(targets_.at(name)), now))
+                      .first->second;
+        on_list_change(gate, change, now);
+        log_event(log_level::info, "gate_role",
+                  {{"target", name},
+                   {"role", std::string(name_in(gate_role_names, gate.role))},
+                   {"primary", assignment.primary},
+                   {"backup", assignment.backup},
+                   {"list_version", std::to_string(list_version_)}});
+    }
+}
+
+auto gate_service::watch_targets() -> void
+{
+    auto watched = std::vector<monitored_target>{};
+    for (const auto& [name, gate] : gates_) {
+        const auto& target = targets_.at(name);
+        if (gate.role != gate_role::none && target.kind == service_kind::model) {
+            watched.push_back({name, target.target.address});
+        }
+    }
+    monitor_.watch(watched);
+}
+
+auto gate_service::confirm_list() -> void
+{
+    const auto now = monotonic_now();
+    for (auto& [name, gate] : gates_) {
+        on_list_confirmed(gate, now);
+    }
+}
+
+auto gate_service::decide(const std::string& target, const permit_request& request,
+                          std::uint64_t fingerprint, time_point now) -> permit_decision
+{
+    const auto found = gates_.find(target);
+    if (found == gates_.end()) {
+        auto refused = permit_decision{};
+        refused.reason = refusal_reason::not_gate;
+        return refused;
+    }
+    on_tick(found->second, now);
+    auto decision = request_permit(found->second, request, now);
+    log_permit(target, request.request_id, std::string(request.holder), request.cost, decision,
+               found->second);
+    if (decision.granted) {
+        running_[target][request.request_id] = {fingerprint, std::nullopt};
+    }
+    return decision;
+}
+
+auto gate_service::request(const std::string& target, std::uint64_t request_id, double cost,
+                           std::uint64_t fingerprint, std::function<void(permit_answer)> done)
+    -> void
+{
+    const auto now = monotonic_now();
+    const auto& self = cluster_.self().identity;
+    const auto held = gates_.find(target);
+    const auto local = held != gates_.end() && held->second.role != gate_role::none;
+    if (local) {
+        const auto decision =
+            decide(target, {request_id, cost, self.id, self.incarnation}, fingerprint, now);
+        const auto remote =
+            decision.reason == refusal_reason::not_gate || held->second.role == gate_role::backup;
+        if (decision.granted || !remote || gate_of(target) == self.id) {
+            done({decision.granted,
+                  std::string(name_in(refusal_reason_names, decision.reason)),
+                  decision.retry_after,
+                  {request_id, target, {}, decision.target_incarnation, now}});
+            return;
+        }
+    }
+    const auto gate = gate_of(target);
+    auto message = wire::envelope{};
+    auto* body = message.mutable_permit_request();
+    body->set_request_id(request_id);
+    body->set_target(target);
+    body->set_cost(static_cast<std::uint32_t>(cost));
+    body->set_fingerprint(fingerprint);
+    auto& waiting = pending_[request_id];
+    waiting.target = target;
+    waiting.gate = gate;
+    waiting.requested = now;
+    waiting.done = std::move(done);
+    waiting.timeout = loop_.call_after(permit_answer_timeout, [this, request_id, target, gate] {
+        // the permit may have been granted although its answer was lost
+        release({request_id, target, gate, 0, {}}, permit_end::unused);
+        finish_pending(request_id, {false, "gate_unreachable", 500ms, {}});
+    });
+    if (gate.empty() || !cluster_.send(gate, message)) {
+        loop_.post([this, request_id] {
+            finish_pending(request_id, {false, "gate_unreachable", 500ms, {}});
+        });
+    }
+}
+
+auto gate_service::finish_pending(std::uint64_t request_id, permit_answer answer) -> void
+{
+    const auto found = pending_.find(request_id);
+    if (found == pending_.end()) {
+        return;
+    }
+    auto waiting = std::move(found->second);
+    pending_.erase(found);
+    answer.permit.request_id = request_id;
+    answer.permit.target = waiting.target;
+    answer.permit.gate = waiting.gate;
+    answer.permit.requested = waiting.requested;
+    if (!answer.granted) {
+        refused_[waiting.target].until = monotonic_now() + refusal_memory;
+    }
+    waiting.done(std::move(answer));
+}
+
+auto gate_service::release_local(gate& gate, std::uint64_t request_id, permit_end end) -> void
+{
+    const auto now = monotonic_now();
+    release_permit(gate, request_id, end, now);
+    auto& running = running_[gate.target];
+    if (end == permit_end::failed) {
+        const auto found = running.find(request_id);
+        if (found != running.end()) {
+            found->second.failed_at = now;
+        }
+    }
+    else {
+        running.erase(request_id);
+    }
+    handlers_.on_capacity();
+}
+
+auto gate_service::valid(const held_permit& permit) const -> bool
+{
+    const auto now = monotonic_now();
+    if (!permit.gate.empty()) {
+        return now - permit.requested < gate_limits{}.permit_life;
+    }
+    const auto found = gates_.find(permit.target);
+    return found != gates_.end() && permit_valid(found->second, permit.request_id,
+                                                 permit.target_incarnation, permit.requested, now);
+}
+
+auto gate_service::release(const held_permit& permit, permit_end end) -> void
+{
+    if (!permit.gate.empty()) {
+        auto message = wire::envelope{};
+        auto* body = message.mutable_permit_release();
+        body->set_request_id(permit.request_id);
+        body->set_target(permit.target);
+        body->set_outcome(static_cast<std::uint32_t>(end));
+        cluster_.send(permit.gate, message);
+        return;
+    }
+    const auto found = gates_.find(permit.target);
+    if (found != gates_.end()) {
+        release_local(found->second, permit.request_id, end);
+    }
+}
+
+auto gate_service::on_message(const wire::envelope& message) -> bool
+{
+    switch (message.body_case()) {
+    case wire::envelope::kPermitRequest:
+        on_permit_request(message);
+        return true;
+    case wire::envelope::kPermitReply:
+        on_permit_reply(message);
+        return true;
+    case wire::envelope::kPermitRelease: {
+        const auto& body = message.permit_release();
+        const auto found = gates_.find(body.target());
+        if (found != gates_.end() && body.outcome() <= 2) {
+            release_local(found->second, body.request_id(),
+                          static_cast<permit_end>(body.outcome()));
+        }
+        return true;
+    }
+    case wire::envelope::kGateLease:
+        on_lease(message);
+        return true;
+    case wire::envelope::kGateLeaseAck:
+        on_lease_ack_message(message);
+        return true;
+    case wire::envelope::kGateHandover:
+        on_handover_message(message);
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto gate_service::on_permit_request(const wire::envelope& message) -> void
+{
+    const auto& body = message.permit_request();
+    const auto cost = std::max(1.0, static_cast<double>(body.cost()));
+    const auto decision =
+        decide(body.target(),
+               {body.request_id(), cost, message.from_instance(), message.from_incarnation()},
+               body.fingerprint(), monotonic_now());
+    auto reply = wire::envelope{};
+    auto* answer = reply.mutable_permit_reply();
+    answer->set_request_id(body.request_id());
+    answer->set_granted(decision.granted);
+    answer->set_reason(std::string(name_in(refusal_reason_names, decision.reason)));
+    answer->set_target_incarnation(decision.target_incarnation);
+    answer->set_retry_after_ms(static_cast<std::uint64_t>(decision.retry_after / 1ms));
+    cluster_.send(message.from_instance(), reply);
+}
+
+auto gate_service::on_permit_reply(const wire::envelope& message) -> void
+{
+    const auto& body = message.permit_reply();
+    const auto found = pending_.find(body.request_id());
+    if (found == pending_.end() || found->second.gate != message.from_instance()) {
+        return;
+    }
+    auto answer = permit_answer{};
+    answer.granted = body.granted();
+    answer.reason = body.reason();
+    answer.retry_after = std::chrono::milliseconds(body.retry_after_ms());
+    answer.permit.target_incarnation = body.target_incarnation();
+    finish_pending(body.request_id(), std::move(answer));
+}
+
+auto gate_service::exchange_leases(time_point now) -> void
+{
+    auto by_peer = std::map<std::string, wire::envelope>{};
+    for (auto& [name, gate] : gates_) {
+        const auto lease = start_lease(gate, now);
+        if (!lease) {
+            continue;
+        }
+        auto peers = std::set<std::string>{gate.backup};
+        for (const auto& former : gate.former) {
+            peers.insert(former.id);
+        }
+        peers.erase("");
+        peers.erase(gate.self);
+        for (const auto& peer : peers) {
+            auto* body = by_peer[peer].mutable_gate_lease();
+            body->set_list_version(lease->list_version);
+            auto* entry = body->add_leases();
+            entry->set_target(name);
+            entry->set_term(lease->term);
+        }
+    }
+    for (const auto& [peer, message] : by_peer) {
+        cluster_.send(peer, message);
+    }
+}
+
+auto gate_service::on_lease(const wire::envelope& message) -> void
+{
+    const auto now = monotonic_now();
+    const auto& body = message.gate_lease();
+    auto reply = wire::envelope{};
+    auto* answers = reply.mutable_gate_lease_ack();
+    answers->set_list_version(list_version_);
+    for (const auto& entry : body.leases()) {
+        auto* answer = answers->add_leases();
+        answer->set_target(entry.target());
+        answer->set_term(entry.term());
+        const auto found = gates_.find(entry.target());
+        if (found != gates_.end()) {
+            const auto given = on_lease_request(found->second, message.from_instance(),
+                                                {entry.term(), body.list_version()}, now);
+            answer->set_acknowledged(given.acknowledged);
+        }
+    }
+    cluster_.send(message.from_instance(), reply);
+}
+
+auto gate_service::on_lease_ack_message(const wire::envelope& message) -> void
+{
+    const auto now = monotonic_now();
+    const auto& body = message.gate_lease_ack();
+    for (const auto& entry : body.leases()) {
+        const auto found = gates_.find(entry.target());
+        if (found != gates_.end()) {
+            on_lease_ack(found->second, message.from_instance(),
+                         {entry.acknowledged(), entry.term(), body.list_version()}, now);
+        }
+    }
+}
+
+auto gate_service::on_handover_message(const wire::envelope& message) -> void
+{
+    const auto& body = message.gate_handover();
+    const auto found = gates_.find(body.target());
+    if (found == gates_.end() || body.state() > 4) {
+        return;
+    }
+    const auto state = gate_state{
+        body.target_incarnation(), static_cast<target_state>(body.state()), body.allowance(),
+        static_cast<double>(body.outstanding_cost()), body.outstanding_requests()};
+    on_handover(found->second, message.from_instance(), state, monotonic_now());
+}
+
+auto gate_service::hand_over_all() -> void
+{
+    const auto now = monotonic_now();
+    for (auto& [name, gate] : gates_) {
+        if (gate.role != gate_role::primary || gate.backup.empty()) {
+            continue;
+        }
+        const auto backup = gate.backup;
+        const auto state = hand_over(gate, now);
+        auto message = wire::envelope{};
+        auto* body = message.mutable_gate_handover();
+        body->set_target(name);
+        body->set_outstanding_cost(static_cast<std::uint64_t>(state.outstanding_cost));
+        body->set_state(static_cast<std::uint32_t>(state.state));
+        body->set_target_incarnation(state.target_incarnation);
+        body->set_allowance(state.allowance);
+        body->set_outstanding_requests(state.outstanding_requests);
+        cluster_.send(backup, message);
+    }
+}
+
+auto gate_service::on_member(const member_change& change) -> void
+{
+    const auto ended = change.member.state == member_state::dead || change.new_incarnation;
+    if (!ended) {
+        return;
+    }
+    const auto now = monotonic_now();
+    for (auto& [name, gate] : gates_) {
+        on_holder_dead(gate, change.member.identity.id, change.member.identity.incarnation, now);
+    }
+}
+
+auto gate_service::on_report(const target_report& report) -> void
+{
+    const auto found = gates_.find(report.target);
+    if (found == gates_.end()) {
+        return;
+    }
+    auto& gate = found->second;
+    on_load_report(gate,
+                   {report.incarnation, report.state, static_cast<double>(report.running),
+                    static_cast<double>(report.waiting), report.cost},
+                   monotonic_now());
+    if (report.state == target_state::leaving) {
+        on_target_leaving(gate, true);
+    }
+    handlers_.on_capacity();
+}
+
+auto gate_service::on_lost(const std::string& target) -> void
+{
+    const auto found = gates_.find(target);
+    if (found == gates_.end()) {
+        return;
+    }
+    const auto incarnation = found->second.target_incarnation.value_or(0);
+    auto fingerprints = std::vector<std::uint64_t>{};
+    for (const auto& [id, run] : std::exchange(running_[target], {})) {
+        fingerprints.push_back(run.fingerprint);
+    }
+    on_stream_closed(found->second, monotonic_now());
+    handlers_.on_target_lost(target, incarnation, fingerprints);
+}
+
+auto gate_service::tick() -> void
+{
+    if (gates_.empty()) {
+        return;
+    }
+    const auto now = monotonic_now();
+    for (auto& [name, gate] : gates_) {
+        on_tick(gate, now);
+        std::erase_if(running_[name], [&](const auto& entry) {
+            return entry.second.failed_at && now - *entry.second.failed_at > failed_run_memory;
+        });
+    }
+    exchange_leases(now);
+    if (now - last_load_report_ >= load_report_period) {
+        last_load_report_ = now;
+        report_loads(now);
+        update_means(now);
+        handlers_.on_capacity();
+    }
+}
+
+/// Sums the loads of the engines whose gates are held here, by model.
+auto gate_service::report_loads(time_point) -> void
+{
+    const auto& config = *config_.text().config;
+    auto sums = std::map<std::uint32_t, model_load>{};
+    for (const auto& [name, gate] : gates_) {
+        if (gate.role != gate_role::primary) {
+            continue;
+        }
+        const auto& target = targets_.at(name).target;
+        const auto* service = service_by_name(config, target.service);
+        const auto& models =
+            target.models.empty() && service != nullptr ? service->models : target.models;
+        for (const auto& model : models) {
+            auto& sum = sums[name_key(model)];
+            sum.model = name_key(model);
+            sum.engines += 1;
+            sum.cost += static_cast<std::uint64_t>(gate_load(gate));
+        }
+    }
+    auto loads = std::vector<model_load>{};
+    for (const auto& [key, sum] : sums) {
+        loads.push_back(sum);
+    }
+    cluster_.set_load(std::move(loads));
+}
+
+auto gate_service::update_means(time_point now) -> void
+{
+    const auto& config = *config_.text().config;
+    auto own_load = 0.0;
+    auto own_engines = 0.0;
+    for (const auto& [name, gate] : gates_) {
+        own_load += gate_load(gate);
+        own_engines += 1;
+    }
+    const auto own_mean = own_engines > 0 ? own_load / own_engines : 0;
+    for (auto& [name, gate] : gates_) {
+        const auto& target = targets_.at(name).target;
+        const auto* service = service_by_name(config, target.service);
+        const auto& models =
+            target.models.empty() && service != nullptr ? service->models : target.models;
+        if (models.empty()) {
+            continue;
+        }
+        if (const auto fleet = fleet_mean(cluster_.members(), models.front(), now)) {
+            on_mean(gate, fleet->mean_cost, own_mean, now - fleet->age);
+        }
+    }
+}
+
+auto gate_service::gate_of(const std::string& target) const -> std::string
+{
+    const auto found = assignments_.find(target);
+    if (found == assignments_.end()) {
+        return {};
+    }
+    const auto& assignment = found->second;
+    const auto primary = find_member(cluster_.members(), assignment.primary);
+    const auto gone = primary && (primary->state == member_state::dead ||
+                                  primary->state == member_state::leaving);
+    return gone && !assignment.backup.empty() ? assignment.backup : assignment.primary;
+}
+
+auto gate_service::views(const std::string& service, const std::string& model) const
+    -> std::vector<engine_view>
+{
+    const auto now = monotonic_now();
+    auto views = std::vector<engine_view>{};
+    const auto& config = *config_.text().config;
+    for (const auto& [name, target] : targets_) {
+        if (!serves(target, service, model)) {
+            continue;
+        }
+        auto view = engine_view{};
+        view.id = name;
+        view.zone = target.target.zone;
+        view.zone_out = zone_is_out(config, target.target.zone);
+        const auto held = gates_.find(name);
+        if (held != gates_.end() && held->second.role == gate_role::primary) {
+            view.state = held->second.state;
+            view.load = gate_load(held->second);
+            view.allowance = held->second.allowance;
+        }
+        else if (const auto refused = refused_.find(name);
+                 refused != refused_.end() && refused->second.until > now) {
+            view.state = target_state::gone;
+        }
+        if (target.state == listed_state::leaving) {
+            view.state = target_state::leaving;
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+auto gate_service::mean(const std::string& model, const std::vector<engine_view>& views,
+                        double cost) const -> double
+{
+    const auto fleet = fleet_mean(cluster_.members(), model, monotonic_now());
+    if (!fleet || fleet->engines == 0) {
+        return mean_load(views, cost);
+    }
+    return fleet->mean_cost + cost / fleet->engines;
+}
+
+auto gate_service::status() const -> std::vector<target_status>
+{
+    const auto now = monotonic_now();
+    auto all = std::vector<target_status>{};
+    for (const auto& [name, target] : targets_) {
+        auto status = target_status{};
+        status.name = name;
+        status.service = target.target.service;
+        status.zone = target.target.zone;
+        status.gate = gate_of(name);
+        const auto held = gates_.find(name);
+        status.local = held != gates_.end() && held->second.role == gate_role::primary;
+        if (status.local) {
+            status.state = held->second.state;
+            status.load = gate_load(held->second);
+            status.bound = gate_bound(held->second, 1, now);
+        }
+        all.push_back(std::move(status));
+    }
+    return all;
+}
+
+auto gate_service::serving_targets(const std::string& service) const -> std::vector<fleet_target>
+{
+    auto serving = std::vector<fleet_target>{};
+    const auto& config = *config_.text().config;
+    for (const auto& [name, target] : targets_) {
+        const auto usable =
+            target.state == listed_state::live && !zone_is_out(config, target.target.zone);
+        if (target.target.service == service && usable) {
+            serving.push_back(target);
+        }
+    }
+    return serving;
+}
+
+auto gate_service::target(const std::string& name) const -> const fleet_target*
+{
+    const auto found = targets_.find(name);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+} // namespace cyclamenpost
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -17,7 +17,7 @@
         return log4cplus::DEBUG_LOG_LEVEL;
     case log_level::info:
         return log4cplus::INFO_LOG_LEVEL;
-    case log_level::warn:
+    case log_level::warning:
         return log4cplus::WARN_LOG_LEVEL;
     case log_level::error:
         return log4cplus::ERROR_LOG_LEVEL;
--- /dev/null
+++ b/src/relay.cpp
@@ -0,0 +1,418 @@
+#include "cyclamenpost/relay.hpp"
+
+#include <algorithm>
+
+#include "cyclamenpost/log.hpp"
+#include "relay_job.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration review_period = 50ms;
+
+auto lookup_priority(const http_request& request) -> priority
+{
+    const auto named = value_in(priority_names, header_value(request.headers, "x-priority"));
+    return named.value_or(priority::normal);
+}
+
+auto log_result(const std::string& request, const std::string& target, std::string_view result,
+                std::uint32_t attempts, duration took) -> void
+{
+    log_event(log_level::info, "request_end",
+              {{"request", request},
+               {"target", target},
+               {"result", std::string(result)},
+               {"attempts", std::to_string(attempts)},
+               {"ms", std::to_string(took / 1ms)}});
+}
+
+} // namespace
+
+relay::relay(relay_context context, relay_options options)
+    : context_(context),
+      options_(std::move(options)),
+      chats_(options_.chat_entries),
+      queue_(make_fair_queue(options_.queue)),
+      once_(make_idempotency_table(context_.cluster.self().identity.id,
+                                   context_.cluster.self().identity.incarnation, wall_clock_ms(),
+                                   monotonic_now(), options_.idempotency))
+{}
+
+relay::~relay() = default;
+
+auto relay::start() -> void
+{
+    periodic_ = context_.loop.call_every(review_period, [this] {
+        expire();
+        pump();
+    });
+}
+
+auto relay::stop() -> void
+{
+    periodic_.reset();
+}
+
+auto relay::drain() -> void
+{
+    draining_ = true;
+}
+
+auto relay::in_progress() const -> std::size_t
+{
+    return jobs_.size();
+}
+
+auto relay::key_prefix() const -> std::string
+{
+    return issue_prefix(once_, monotonic_now());
+}
+
+auto relay::last_target(std::string_view chat) const -> std::string
+{
+    return std::string(chats_.last_target(chat));
+}
+
+auto relay::alternatives() const -> std::vector<alternative>
+{
+    auto others = std::vector<alternative>{};
+    if (!context_.config.text().config) {
+        return others;
+    }
+    const auto& config = *context_.config.text().config;
+    for (const auto& member : live_members(context_.cluster.members())) {
+        const auto self = member.identity.id == context_.cluster.self().identity.id;
+        if (!self && !zone_is_out(config, member.zone) && !member.http.empty()) {
+            others.push_back({member.http, member.zone, member.identity.id});
+        }
+    }
+    constexpr auto max_alternatives = std::size_t{3};
+    others.resize(std::min(others.size(), max_alternatives));
+    return others;
+}
+
+auto relay::make_job(http_request request, std::shared_ptr<http_exchange> exchange) -> job_ptr
+{
+    auto work = std::make_shared<job>();
+    const auto now = monotonic_now();
+    const auto& self = context_.cluster.self().identity;
+    work->id = hash64(to_hex(self.incarnation) + std::to_string(next_id_++));
+    work->request_id = to_hex(work->id);
+    work->exchange = std::move(exchange);
+    work->received = now;
+    work->organisation = header_value(request.headers, "x-organisation");
+    work->chat = header_value(request.headers, "x-chat-id");
+    work->level = lookup_priority(request);
+    work->deadline =
+        deadline_from_header(header_value(request.headers, "x-request-deadline-ms"), now);
+    work->request = std::move(request);
+    jobs_.emplace(work->id, work);
+    work->exchange->on_closed([this, weak = std::weak_ptr(work)] {
+        if (const auto left = weak.lock()) {
+            on_caller_gone(left);
+        }
+    });
+    return work;
+}
+
+auto relay::refusal_before_start(const job& work, const service_config& service) const
+    -> std::optional<problem>
+{
+    const auto& config = *context_.config.text().config;
+    if (draining_) {
+        return make_problem(refusal::instance_leaving, "This instance is shutting down.", 0,
+                            alternatives());
+    }
+    if (zone_is_out(config, context_.cluster.self().zone)) {
+        return make_problem(refusal::zone_out, "The operator has taken this instance's zone out.",
+                            0, alternatives());
+    }
+    auto without_target = std::vector<std::string>{};
+    for (const auto& each : config.services) {
+        if (context_.gates.serving_targets(each.name).empty()) {
+            without_target.push_back(each.name);
+        }
+    }
+    const auto unusable = unusable_services(config, without_target);
+    if (std::find(unusable.begin(), unusable.end(), service.name) != unusable.end()) {
+        return make_problem(refusal::dependency_down,
+                            "Service " + service.name +
+                                " or a service that it depends on has no live target.",
+                            2000);
+    }
+    if (work.suspect == suspicion::stopped) {
+        return make_problem(refusal::crash_suspect,
+                            "Targets died twice while they ran this request's content.");
+    }
+    if (work.deadline && *work.deadline <= work.received) {
+        return make_problem(refusal::deadline_passed, "The deadline has passed.");
+    }
+    return std::nullopt;
+}
+
+auto relay::admit(const job_ptr& work) -> void
+{
+    const auto share = organisation_or_default(*context_.config.text().config, work->organisation);
+    set_share(queue_, work->organisation, {share.weight, share.max_concurrent});
+    count_first_attempt(budget_, work->received);
+    record(*work, "request_accepted", "");
+    if (start_directly(queue_, work->organisation)) {
+        work->running = true;
+        place(work);
+        return;
+    }
+    queue(work);
+}
+
+auto relay::queue(const job_ptr& work) -> void
+{
+    if (std::exchange(work->running, false)) {
+        finish_work(queue_, work->organisation);
+    }
+    const auto now = monotonic_now();
+    const auto decision =
+        enqueue_work(queue_,
+                     {work->id, work->organisation, work->queue_class,
+                      static_cast<std::uint64_t>(work->cost), work->received, work->deadline},
+                     now);
+    if (decision.displaced) {
+        const auto displaced = jobs_.find(decision.displaced->id);
+        if (displaced != jobs_.end()) {
+            const auto other = displaced->second;
+            refuse(other, make_problem(refusal::queue_full, "The queue is full.", 1000));
+        }
+    }
+    if (!decision.queued) {
+        refuse(work, make_problem(decision.reason.value_or(refusal::queue_full),
+                                  "The request cannot wait here.", 1000));
+    }
+}
+
+auto relay::pump() -> void
+{
+    // placing work can free or refuse capacity and so lead back here
+    if (std::exchange(pumping_, true)) {
+        return;
+    }
+    const auto now = monotonic_now();
+    constexpr auto max_starts = 64;
+    for (auto i = 0; i < max_starts; ++i) {
+        const auto next = next_work(
+            queue_,
+            [&](const queued_work& candidate) {
+                const auto found = jobs_.find(candidate.id);
+                if (found == jobs_.end() || found->second->kind != service_kind::model) {
+                    return true;
+                }
+                const auto& work = *found->second;
+                const auto views = context_.gates.views(work.service, work.model);
+                const auto mean = context_.gates.mean(work.model, views, work.cost);
+                return choose_engine({work.chat, work.cost, {}, placement_policy::cyclamenpost, 0},
+                                     views, mean, {})
+                    .engine.has_value();
+            },
+            now);
+        if (!next) {
+            break;
+        }
+        const auto found = jobs_.find(next->id);
+        if (found == jobs_.end()) {
+            finish_work(queue_, next->organisation);
+            continue;
+        }
+        const auto work = found->second;
+        work->running = true;
+        place(work);
+    }
+    pumping_ = false;
+}
+
+auto relay::place(const job_ptr& work) -> void
+{
+    if (work->kind == service_kind::model) {
+        place_chat(work);
+    }
+    else {
+        place_call(work);
+    }
+}
+
+auto relay::expire() -> void
+{
+    const auto now = monotonic_now();
+    for (const auto& expired : expire_work(queue_, now)) {
+        const auto found = jobs_.find(expired.id);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        const auto work = found->second;
+        const auto late = work->deadline && *work->deadline <= now;
+        const auto reason = late ? refusal::deadline_passed : refusal::queue_timeout;
+        const auto detail = "No target had capacity in time.";
+        refuse(work, work->ever_sent ? make_problem_after_send(reason, detail)
+                                     : make_problem(reason, detail, 1000));
+    }
+    evict_expired(once_, now);
+    expire_strikes(suspects_, now);
+}
+
+auto relay::end_job(const job_ptr& work, std::string_view result) -> void
+{
+    if (std::exchange(work->ended, true)) {
+        return;
+    }
+    work->retry_timer.reset();
+    if (std::exchange(work->running, false)) {
+        finish_work(queue_, work->organisation);
+    }
+    else {
+        cancel_work(queue_, work->id);
+    }
+    jobs_.erase(work->id);
+    const auto took = monotonic_now() - work->received;
+    log_result(work->request_id, work->target, result, work->attempts, took);
+    record(*work, "request_end", result);
+    context_.metrics
+        .counter_of("cyclamenpost_requests_total", "Requests by result.",
+                    {{"result", std::string(result)}})
+        .add();
+    context_.loop.post([this] { pump(); });
+}
+
+auto relay::refuse(const job_ptr& work, const problem& document) -> void
+{
+    if (work->ended) {
+        return;
+    }
+    auto headers =
+        header_list{{"content-type", std::string(problem_content_type)},
+                    {"x-request-id", work->request_id},
+                    {"x-outcome", std::string(name_in(outcome_names, document.request_outcome))}};
+    if (document.retry_after_ms > 0) {
+        headers.push_back(
+            {"retry-after", std::to_string(retry_after_seconds(document.retry_after_ms))});
+    }
+    log_event(log_level::info, "refusal",
+              {{"request", work->request_id},
+               {"reason", std::string(meaning_of(document.reason).name)},
+               {"outcome", std::string(name_in(outcome_names, document.request_outcome))},
+               {"detail", document.detail}});
+    work->exchange->respond(document.status, headers, to_json(document));
+    end_job(work, name_in(outcome_names, document.request_outcome));
+}
+
+auto relay::on_caller_gone(const job_ptr& work) -> void
+{
+    if (work->ended) {
+        return;
+    }
+    work->caller_gone = true;
+    // a call that may not be repeated runs to its end, so that its outcome is recorded
+    if (!work->repeatable && work->attempts > 0) {
+        return;
+    }
+    if (work->call) {
+        work->call->cancel();
+    }
+    if (work->permit) {
+        context_.gates.release(*work->permit, permit_end::completed);
+        work->permit.reset();
+    }
+    end_job(work, "caller_gone");
+}
+
+auto relay::record(const job& work, std::string_view event, std::string_view result) -> void
+{
+    auto entry = history_event{};
+    entry.event = event;
+    entry.request = work.request_id;
+    entry.attempt = work.attempts;
+    entry.instance = context_.cluster.self().identity.id;
+    entry.incarnation = to_hex(context_.cluster.self().identity.incarnation);
+    entry.target = work.target;
+    entry.target_incarnation = work.target_incarnation;
+    entry.config_version = in_force(context_.config.text()).version;
+    entry.cost = static_cast<std::int64_t>(work.cost);
+    entry.organisation = work.organisation;
+    entry.chat = work.chat;
+    entry.key = header_value(work.request.headers, "idempotency-key");
+    entry.zone = context_.cluster.self().zone;
+    entry.outcome = result;
+    context_.history.write(std::move(entry));
+}
+
+auto relay::broadcast(const wire::envelope& message, bool whole_fleet) -> void
+{
+    const auto& self = context_.cluster.self();
+    for (const auto& member : live_members(context_.cluster.members())) {
+        const auto wanted = whole_fleet || member.zone == self.zone;
+        if (wanted && member.identity.id != self.identity.id) {
+            context_.cluster.send(member.identity.id, message);
+        }
+    }
+}
+
+auto relay::on_target_lost(const std::string& target, incarnation_id incarnation,
+                           const std::vector<std::uint64_t>& fingerprints) -> void
+{
+    for (const auto fingerprint : fingerprints) {
+        if (!add_strike(suspects_, {fingerprint, target, incarnation}, monotonic_now())) {
+            continue;
+        }
+        log_event(log_level::warning, "strike",
+                  {{"fingerprint", to_hex(fingerprint)},
+                   {"target", target},
+                   {"incarnation", to_hex(incarnation)}});
+        auto message = wire::envelope{};
+        message.mutable_strike()->set_fingerprint(fingerprint);
+        message.mutable_strike()->set_target(target);
+        message.mutable_strike()->set_target_incarnation(incarnation);
+        broadcast(message, true);
+    }
+}
+
+auto relay::on_cache(const cache_report&) -> void {}
+
+auto relay::on_member(const member_change& change) -> void
+{
+    if (change.member.state == member_state::dead) {
+        end_origin(once_, change.member.identity.incarnation);
+    }
+}
+
+auto relay::on_message(const wire::envelope& message) -> bool
+{
+    const auto now = monotonic_now();
+    switch (message.body_case()) {
+    case wire::envelope::kStrike:
+        add_strike(suspects_,
+                   {message.strike().fingerprint(), message.strike().target(),
+                    message.strike().target_incarnation()},
+                   now);
+        return true;
+    case wire::envelope::kStrikeClear:
+        clear_strikes(suspects_, message.strike_clear().fingerprint(), now);
+        return true;
+    case wire::envelope::kOrderNumber: {
+        const auto& body = message.order_number();
+        auto notice = order_notice{};
+        notice.order_hash = body.hash();
+        notice.origin = message.from_incarnation();
+        notice.state =
+            body.outcome() <= 2 ? static_cast<record_state>(body.outcome()) : record_state::unknown;
+        notice.withdrawn = body.outcome() == 3;
+        notice.status = static_cast<int>(body.status());
+        notice.body = body.body();
+        merge_order(once_, notice, now);
+        return true;
+    }
+    default:
+        return false;
+    }
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/router.cpp
@@ -0,0 +1,386 @@
+#include "cyclamenpost/router.hpp"
+
+#include <random>
+
+#include <nlohmann/json.hpp>
+
+#include "cyclamenpost/admin.hpp"
+#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/lookup.hpp"
+#include "cyclamenpost/relay.hpp"
+#include "cyclamenpost/supervisor.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr duration drain_review_period = 100ms;
+// callers keep lookup answers and peers need a moment to learn that this instance leaves
+constexpr duration drain_grace = 1s;
+
+auto random_incarnation() -> incarnation_id
+{
+    auto device = std::random_device{};
+    return (static_cast<incarnation_id>(device()) << 32U) | device();
+}
+
+auto self_record(const settings& chosen) -> member_record
+{
+    auto self = member_record{};
+    self.identity.id = chosen.instance;
+    self.identity.incarnation = random_incarnation();
+    self.identity.start_ms = static_cast<std::uint64_t>(wall_clock_ms());
+    self.zone = chosen.zone;
+    self.region = chosen.region;
+    self.http = chosen.listen_address + ":" + std::to_string(chosen.listen_port);
+    self.bus = chosen.bus;
+    return self;
+}
+
+auto bus_options(const settings& chosen, const member_record& self) -> bus_settings
+{
+    auto options = bus_settings{};
+    options.instance = chosen.instance;
+    options.zone = chosen.zone;
+    options.listen_address = chosen.bus;
+    options.incarnation = self.identity.incarnation;
+    options.start_ms = self.identity.start_ms;
+    options.keys.server_public = chosen.curve_public_key;
+    options.keys.server_secret = chosen.curve_secret_key;
+    options.keys.client_public = chosen.curve_public_key;
+    options.keys.client_secret = chosen.curve_secret_key;
+    return options;
+}
+
+auto relay_limits(const settings& chosen) -> relay_options
+{
+    auto options = relay_options{};
+    options.chat_entries = chosen.chat_entries;
+    options.queue.interactive_wait = chosen.queue_interactive;
+    options.queue.summary_wait = chosen.queue_summary;
+    options.idempotency.records = chosen.idempotency_records;
+    options.idempotency.retention_ms =
+        std::chrono::milliseconds(chosen.idempotency_retention).count();
+    return options;
+}
+
+auto to_lookup_state(const member_record& member) -> lookup_state
+{
+    switch (member.state) {
+    case member_state::alive:
+        return lookup_state::live;
+    case member_state::leaving:
+        return lookup_state::leaving;
+    case member_state::suspect:
+        return lookup_state::suspect;
+    case member_state::dead:
+        return lookup_state::gone;
+    }
+    return lookup_state::gone;
+}
+
+} // namespace
+
+struct router::state {
+    state(event_loop& on, settings with, std::function<void(int)> exit)
+        : loop(on),
+          chosen(std::move(with)),
+          on_exit(std::move(exit)),
+          self(self_record(chosen)),
+          cluster(loop, self, bus_options(chosen, self)),
+          config(loop, cluster,
+                 {chosen.instance, chosen.platform, chosen.seed_peers, self.identity.incarnation}),
+          gates(loop, cluster, config),
+          requests({loop, cluster, config, gates, metrics, history}, relay_limits(chosen)),
+          tree(loop, {}, [this](const std::string& child) { give_up(child); }),
+          random(self.identity.incarnation)
+    {}
+
+    auto children() -> supervised;
+    auto start_cluster() -> result<void>;
+    auto start_listener() -> result<void>;
+    auto start_admin() -> result<void>;
+    auto on_request(http_request request, const std::shared_ptr<http_exchange>& exchange) -> void;
+    auto answer_lookup(const http_request& request, http_exchange& exchange) -> void;
+    auto preferred_gates(const std::string& chat, const std::string& model) const
+        -> std::vector<std::string>;
+    auto view_of_fleet() const -> lookup_view;
+    auto review_drain() -> void;
+    auto give_up(const std::string& child) -> void;
+
+    event_loop& loop;
+    settings chosen;
+    std::function<void(int)> on_exit;
+    member_record self;
+    metric_registry metrics;
+    history_writer history;
+    cluster_node cluster;
+    config_service config;
+    gate_service gates;
+    relay requests;
+    http_server listener;
+    http_server admin_listener;
+    std::unique_ptr<admin_context> admin;
+    supervisor tree;
+    std::mt19937_64 random;
+    bool leaving = false;
+    bool handed_over = false;
+    time_point leaving_since{};
+    timer drain_timer;
+};
+
+auto router::state::start_cluster() -> result<void>
+{
+    auto handlers = cluster_handlers{};
+    handlers.on_member = [this](const member_change& change) {
+        gates.on_member(change);
+        requests.on_member(change);
+    };
+    handlers.on_config_sighting = [this](const config_sighting& sighting) {
+        config.on_sighting(sighting);
+    };
+    handlers.on_message = [this](const wire::envelope& message) {
+        const auto known =
+            config.on_message(message) || gates.on_message(message) || requests.on_message(message);
+        if (!known) {
+            log_event(log_level::debug, "message_ignored", {{"from", message.from_instance()}});
+        }
+    };
+    return cluster.start(std::move(handlers));
+}
+
+auto router::state::start_listener() -> result<void>
+{
+    auto limits = http_limits{};
+    limits.body_bytes = chosen.body_bytes;
+    limits.request_seconds = static_cast<unsigned>(chosen.request_time.count());
+    return listener.start(
+        loop, chosen.listen_address, chosen.listen_port, limits,
+        [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+            on_request(std::move(request), exchange);
+        });
+}
+
+auto router::state::start_admin() -> result<void>
+{
+    admin = std::make_unique<admin_context>(
+        admin_context{cluster, config, gates, requests, metrics, chosen.admin_token, {}, [this] {
+                          return leaving;
+                      }});
+    return admin_listener.start(
+        loop, chosen.admin_address, chosen.admin_port, {},
+        [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+            handle_admin(*admin, request, *exchange);
+        });
+}
+
+auto router::state::children() -> supervised
+{
+    auto stop_listener = [this] { listener.stop(); };
+    auto admin_child = supervised{
+        "admin", [this] { return start_admin(); }, [this] { admin_listener.stop(); }, {}};
+    auto listener_child =
+        supervised{"listener", [this] { return start_listener(); }, stop_listener, {}};
+    auto requests_child = supervised{"requests",
+                                     [this]() -> result<void> {
+                                         requests.start();
+                                         return {};
+                                     },
+                                     [this] { requests.stop(); },
+                                     {}};
+    auto gates_child = supervised{
+        "gates",
+        [this]() -> result<void> {
+            gates.start({[this](const std::string& target, incarnation_id incarnation,
+                                const std::vector<std::uint64_t>& fingerprints) {
+                             requests.on_target_lost(target, incarnation, fingerprints);
+                         },
+                         [this](const cache_report& report) { requests.on_cache(report); },
+                         [this] { requests.pump(); }});
+            return {};
+        },
+        [this] { gates.stop(); },
+        {}};
+    auto config_child =
+        supervised{"configuration",
+                   [this]() -> result<void> {
+                       config.start({[this] { gates.apply(); }, [this] { gates.confirm_list(); }});
+                       return {};
+                   },
+                   [this] { config.stop(); },
+                   {}};
+    auto cluster_child =
+        supervised{"cluster", [this] { return start_cluster(); }, [this] { cluster.stop(); }, {}};
+    auto root = supervised{
+        "root", [this]() -> result<void> { return history.open(chosen.history_file); }, [] {}, {}};
+    root.children = {cluster_child, gates_child,    requests_child,
+                     config_child,  listener_child, admin_child};
+    return root;
+}
+
+auto router::state::on_request(http_request request, const std::shared_ptr<http_exchange>& exchange)
+    -> void
+{
+    if (request.path == "/v1/lookup") {
+        answer_lookup(request, *exchange);
+    }
+    else if (request.path == "/v1/chat/completions") {
+        requests.handle_chat(std::move(request), exchange);
+    }
+    else if (request.path.starts_with("/services/")) {
+        requests.handle_service(std::move(request), exchange);
+    }
+    else if (request.path == "/healthz") {
+        exchange->respond(200, {{"content-type", "text/plain"}}, "ok\n");
+    }
+    else if (request.path == "/readyz") {
+        const auto ready = config.ready() && !leaving;
+        exchange->respond(ready ? 200 : 503, {{"content-type", "text/plain"}},
+                          ready ? "ready\n" : "not ready\n");
+    }
+    else {
+        exchange->respond(404, {{"content-type", std::string(problem_content_type)}},
+                          to_json(make_problem(refusal::unknown_service, "No such path.")));
+    }
+}
+
+auto router::state::preferred_gates(const std::string& chat, const std::string& model) const
+    -> std::vector<std::string>
+{
+    const auto* service = service_of_model(*config.text().config, model);
+    if (service == nullptr || chat.empty()) {
+        return {};
+    }
+    const auto views = gates.views(service->name, model);
+    auto preferred = std::vector<std::string>{};
+    for (const auto index : preference_order(chat, views)) {
+        const auto& view = views[index];
+        if (!view.zone_out && view.state != target_state::leaving) {
+            preferred.push_back(gates.gate_of(view.id));
+        }
+    }
+    return preferred;
+}
+
+auto router::state::view_of_fleet() const -> lookup_view
+{
+    auto view = lookup_view{};
+    view.zones_out = config.text().config->fleet.zones_out;
+    const auto add = [&](const member_record& member) {
+        auto place = to_lookup_state(member);
+        const auto* listed = instance_by_id(*config.list().list, member.identity.id);
+        if (listed != nullptr && listed->state == listed_state::leaving) {
+            place = lookup_state::leaving;
+        }
+        view.instances.push_back({member.identity.id, member.zone, member.http, place});
+    };
+    add(cluster.members().self);
+    for (const auto& [id, entry] : cluster.members().members) {
+        add(entry.record);
+    }
+    return view;
+}
+
+auto router::state::answer_lookup(const http_request& request, http_exchange& exchange) -> void
+{
+    if (!config.ready() || !config.text().config) {
+        const auto document =
+            make_problem(refusal::not_ready, "This instance has no configuration yet.", 1000);
+        exchange.respond(document.status, {{"content-type", std::string(problem_content_type)}},
+                         to_json(document));
+        return;
+    }
+    const auto chat = query_value(request.query, "chat");
+    const auto organisation = query_value(request.query, "organisation");
+    const auto model = query_value(request.query, "model");
+    auto query = lookup_query{};
+    query.chat = chat;
+    query.organisation = organisation;
+    query.model = model;
+    query.preferred = preferred_gates(chat, model);
+    const auto answer = lookup_addresses(view_of_fleet(), query, random());
+    auto addresses = json::array();
+    auto names = std::string{};
+    for (const auto& address : answer.addresses) {
+        addresses.push_back(
+            {{"address", address.address}, {"zone", address.zone}, {"instance", address.instance}});
+        names += (names.empty() ? "" : ",") + address.instance;
+    }
+    log_event(
+        log_level::info, "lookup",
+        {{"chat", chat}, {"organisation", organisation}, {"model", model}, {"choice", names}});
+    const auto body = json{{"addresses", addresses},
+                           {"valid_ms", answer.valid / 1ms},
+                           {"config_version", in_force(config.text()).version},
+                           {"key_prefix", requests.key_prefix()}};
+    exchange.respond(200, {{"content-type", "application/json"}}, body.dump());
+}
+
+auto router::state::review_drain() -> void
+{
+    const auto waited = monotonic_now() - leaving_since;
+    const auto limit = duration(chosen.drain_limit);
+    const auto over = limit.count() > 0 && waited > limit;
+    if (!over && (waited < drain_grace || requests.in_progress() > 0)) {
+        return;
+    }
+    if (!std::exchange(handed_over, true)) {
+        gates.hand_over_all();
+        // the messages leave on the next turns of the loop
+        return;
+    }
+    log_event(log_level::info, "shutdown_complete",
+              {{"cut_off", std::to_string(requests.in_progress())}});
+    drain_timer.reset();
+    tree.stop();
+    on_exit(0);
+}
+
+auto router::state::give_up(const std::string& child) -> void
+{
+    log_event(log_level::error, "child_failed_too_often", {{"child", child}});
+    on_exit(1);
+}
+
+router::router(event_loop& loop, settings chosen, std::function<void(int)> on_exit)
+    : state_(std::make_unique<state>(loop, std::move(chosen), std::move(on_exit)))
+{}
+
+router::~router() = default;
+
+auto router::start() -> void
+{
+    state_->tree.start(state_->children());
+    if (state_->admin) {
+        state_->admin->begin_shutdown = [this] { begin_shutdown(); };
+    }
+}
+
+auto router::begin_shutdown() -> void
+{
+    auto& own = *state_;
+    if (std::exchange(own.leaving, true)) {
+        return;
+    }
+    log_event(log_level::info, "shutdown_begins",
+              {{"in_progress", std::to_string(own.requests.in_progress())}});
+    own.leaving_since = monotonic_now();
+    own.cluster.leave();
+    own.requests.drain();
+    own.drain_timer = own.loop.call_every(drain_review_period, [this] { state_->review_drain(); });
+}
+
+auto router::port() const -> int
+{
+    return state_->listener.port();
+}
+
+auto router::admin_port() const -> int
+{
+    return state_->admin_listener.port();
+}
+
+} // namespace cyclamenpost
--- a/src/target_monitor.cpp
+++ b/src/target_monitor.cpp
@@ -184,7 +184,7 @@
         return;
     }
     if (std::exchange(stream->connected, false)) {
-        log_event(log_level::warn, "target_stream_closed", {{"target", stream->target.name}});
+        log_event(log_level::warning, "target_stream_closed", {{"target", stream->target.name}});
         handlers_.on_closed(stream->target.name);
     }
     stream->reconnect = loop_.call_after(stream->delay, [this, weak = std::weak_ptr(stream)] {
