Read the daemon's settings from flags and environment

Each value is checked by one rule with its own description of what is allowed; misspelt variables are rejected. Values of secret files never appear in messages.

--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,412 @@
+#include "cyclamenpost/settings.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <set>
+#include <sstream>
+
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include "cyclamenpost/fleet_config.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+// stores a text in the settings; returns whether it is allowed
+using store_text = std::function<bool(settings&, const std::string&)>;
+
+struct setting_rule {
+    std::string flag;
+    std::string description;
+    std::string allowed;
+    bool required;
+    store_text store;
+};
+
+using rule_list = std::vector<setting_rule>;
+
+constexpr std::string_view variable_prefix = "CYCLAMENPOST_";
+
+auto invalid(const std::string& flag, const std::string& value, const std::string& allowed)
+    -> leaf::error_id
+{
+    return fail(error_id::setting_invalid, step::settings, flag,
+                "the value \"" + value + "\" is not allowed; allowed: " + allowed);
+}
+
+auto is_id(const std::string& text) -> bool
+{
+    constexpr auto longest = std::size_t{64};
+    const auto allowed = [](char letter) {
+        return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' ||
+               letter == '_';
+    };
+    return !text.empty() && text.size() <= longest &&
+           std::all_of(text.begin(), text.end(), allowed);
+}
+
+auto id_rule(std::string flag, std::string description, bool required, std::string settings::*field)
+    -> setting_rule
+{
+    return {std::move(flag), std::move(description), "1 to 64 letters, digits, '-' and '_'",
+            required, [field](settings& into, const std::string& text) {
+                into.*field = text;
+                return is_id(text);
+            }};
+}
+
+auto text_rule(std::string flag, std::string description, std::string allowed,
+               std::string settings::*field, bool (*is_allowed)(std::string_view)) -> setting_rule
+{
+    return {std::move(flag), std::move(description), std::move(allowed), false,
+            [field, is_allowed](settings& into, const std::string& text) {
+                into.*field = text;
+                return is_allowed(text);
+            }};
+}
+
+struct number_range {
+    std::uint64_t lowest;
+    std::uint64_t highest;
+};
+
+auto parse_number(const std::string& text, number_range range) -> std::optional<std::uint64_t>
+{
+    auto value = std::uint64_t{0};
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || value < range.lowest ||
+        value > range.highest) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+template <typename Number>
+auto number_rule(std::string flag, std::string description, std::string unit, number_range range,
+                 Number settings::*field) -> setting_rule
+{
+    auto allowed = "a whole number from " + std::to_string(range.lowest) + " to " +
+                   std::to_string(range.highest) + unit;
+    return {std::move(flag), std::move(description), std::move(allowed), false,
+            [field, range](settings& into, const std::string& text) {
+                const auto value = parse_number(text, range);
+                if (value) {
+                    into.*field = Number(*value);
+                }
+                return value.has_value();
+            }};
+}
+
+// stores the path of a file; it is read after all settings were checked
+auto file_rule(std::string flag, std::string description, std::string settings::*field)
+    -> setting_rule
+{
+    return {std::move(flag), std::move(description), "the path of a file", false,
+            [field](settings& into, const std::string& text) {
+                into.*field = text;
+                return !text.empty();
+            }};
+}
+
+auto level_rule() -> setting_rule
+{
+    return {"log-level", "Least important lines that are logged.", "debug, info, warning or error",
+            false, [](settings& into, const std::string& text) {
+                const auto level = value_in(log_level_names, text);
+                into.level = level.value_or(into.level);
+                return level.has_value();
+            }};
+}
+
+auto seeds_rule() -> setting_rule
+{
+    return {"seed-peers", "Peers to ask while the platform cannot be reached at start.",
+            "IP:port pairs separated by commas", false,
+            [](settings& into, const std::string& text) {
+                auto rest = std::istringstream{text};
+                auto peer = std::string{};
+                while (std::getline(rest, peer, ',')) {
+                    if (!is_ip_and_port(peer)) {
+                        return false;
+                    }
+                    into.seed_peers.push_back(peer);
+                }
+                return !into.seed_peers.empty();
+            }};
+}
+
+auto add_identity_rules(rule_list& rules) -> void
+{
+    const auto* const address = "an IP number such as 127.0.0.1";
+    const auto* const peer = "an IP number and port such as 127.0.0.1:8082";
+    constexpr auto ports = number_range{0, 65535};
+    rules.push_back(id_rule("instance", "Id of this instance, unique in the fleet.", true,
+                            &settings::instance));
+    rules.push_back(id_rule("zone", "Zone of this instance.", true, &settings::zone));
+    rules.push_back(id_rule("region", "Region of the zone.", false, &settings::region));
+    rules.push_back(text_rule("listen-address", "Address for callers.", address,
+                              &settings::listen_address, is_ip));
+    rules.push_back(number_rule("listen-port", "Port for callers; 0 picks a free one.", "", ports,
+                                &settings::listen_port));
+    rules.push_back(text_rule("admin-address", "Address of the administration API.", address,
+                              &settings::admin_address, is_ip));
+    rules.push_back(number_rule("admin-port", "Port of the administration API; 0 picks a free one.",
+                                "", ports, &settings::admin_port));
+    rules.push_back(text_rule("bus", "Address for messages between instances.", peer,
+                              &settings::bus, is_ip_and_port));
+    rules.push_back(text_rule("platform", "Address of the platform's service.", peer,
+                              &settings::platform, is_ip_and_port));
+    rules.push_back(seeds_rule());
+}
+
+auto add_file_rules(rule_list& rules) -> void
+{
+    rules.push_back(file_rule("admin-token-file",
+                              "File with the token that the administration API asks for.",
+                              &settings::admin_token));
+    rules.push_back(file_rule("curve-secret-file", "File with the bus's secret CURVE key.",
+                              &settings::curve_secret_key));
+    rules.push_back(file_rule("curve-public-file", "File with the bus's public CURVE key.",
+                              &settings::curve_public_key));
+    rules.push_back(file_rule("history-file", "File for JSON lines of requests, for tests.",
+                              &settings::history_file));
+    rules.push_back(level_rule());
+}
+
+auto add_limit_rules(rule_list& rules) -> void
+{
+    rules.push_back(number_rule("body-bytes", "Largest request body.", " bytes",
+                                {1024, 256U << 20U}, &settings::body_bytes));
+    rules.push_back(number_rule("request-seconds", "Time a caller has to send a request.",
+                                " seconds", {1, 3600}, &settings::request_time));
+    rules.push_back(number_rule("max-connections", "Open connections of this process.", "",
+                                {16, 65535}, &settings::max_connections));
+    rules.push_back(number_rule("chat-entries", "Chats whose last target is remembered.", "",
+                                {100, 10000000}, &settings::chat_entries));
+    rules.push_back(number_rule("idempotency-records", "Calls whose outcome is remembered.", "",
+                                {100, 10000000}, &settings::idempotency_records));
+    rules.push_back(number_rule("idempotency-seconds", "Time an outcome is remembered.", " seconds",
+                                {1, 86400}, &settings::idempotency_retention));
+    rules.push_back(number_rule("queue-interactive-ms", "Longest wait of an interactive request.",
+                                " ms", {1, 600000}, &settings::queue_interactive));
+    rules.push_back(number_rule("queue-summary-ms", "Longest wait of a summary.", " ms",
+                                {1, 600000}, &settings::queue_summary));
+    rules.push_back(number_rule("drain-seconds",
+                                "Longest time for running requests at shutdown; 0: no limit.",
+                                " seconds", {0, 86400}, &settings::drain_limit));
+}
+
+auto all_rules() -> rule_list
+{
+    auto rules = rule_list{};
+    add_identity_rules(rules);
+    add_file_rules(rules);
+    add_limit_rules(rules);
+    return rules;
+}
+
+// a setting as the arguments or the environment give it
+struct given_value {
+    const setting_rule* rule;
+    std::string value;
+};
+
+struct given_values {
+    std::vector<given_value> values;
+    bool help_shown = false;
+};
+
+using flag_argument = std::unique_ptr<TCLAP::ValueArg<std::string>>;
+
+auto read_arguments(const std::vector<std::string>& arguments, const rule_list& rules)
+    -> result<given_values>
+{
+    auto given = given_values{};
+    try {
+        auto command = TCLAP::CmdLine("Entry instance of a cyclamenpost fleet. Each flag may also "
+                                      "be given as CYCLAMENPOST_<FLAG> in the environment.",
+                                      ' ', CYCLAMENPOST_VERSION);
+        command.setExceptionHandling(false);
+        auto flags = std::vector<flag_argument>{};
+        for (const auto& rule : rules) {
+            flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
+                "", rule.flag, rule.description + " Allowed: " + rule.allowed + ".", false, "",
+                "value", command));
+        }
+        auto copy = arguments;
+        command.parse(copy);
+        for (std::size_t i = 0; i < rules.size(); ++i) {
+            if (flags[i]->isSet()) {
+                given.values.push_back({&rules[i], flags[i]->getValue()});
+            }
+        }
+    }
+    catch (const TCLAP::ExitException&) {
+        given.help_shown = true;
+    }
+    catch (const TCLAP::ArgException& problem) {
+        return fail(error_id::setting_invalid, step::settings, problem.argId(),
+                    problem.error() + "; allowed are the flags that --help lists");
+    }
+    return given;
+}
+
+auto add_variables(const environment& variables, const rule_list& rules, given_values& given)
+    -> result<void>
+{
+    auto names = std::vector<std::string>{};
+    for (const auto& rule : rules) {
+        names.push_back(variable_name(rule.flag));
+    }
+    for (const auto& variable : variables) {
+        if (!variable.name.starts_with(variable_prefix)) {
+            continue;
+        }
+        const auto found = std::find(names.begin(), names.end(), variable.name);
+        if (found == names.end()) {
+            const auto near = nearest_name(variable.name, names);
+            return fail(error_id::setting_invalid, step::settings, variable.name,
+                        "there is no such setting" +
+                            (near.empty() ? "" : "; did you mean " + near + "?"));
+        }
+        const auto* rule = &rules[static_cast<std::size_t>(found - names.begin())];
+        const auto by_flag = std::any_of(given.values.begin(), given.values.end(),
+                                         [&](const auto& each) { return each.rule == rule; });
+        if (!by_flag) {
+            given.values.push_back({rule, variable.value});
+        }
+    }
+    return {};
+}
+
+auto store_values(const rule_list& rules, const given_values& given) -> result<settings>
+{
+    auto values = settings{};
+    auto stored = std::set<const setting_rule*>{};
+    for (const auto& [rule, value] : given.values) {
+        if (!rule->store(values, value)) {
+            return invalid(rule->flag, value, rule->allowed);
+        }
+        stored.insert(rule);
+    }
+    for (const auto& rule : rules) {
+        if (rule.required && !stored.contains(&rule)) {
+            return fail(error_id::setting_invalid, step::settings, rule.flag,
+                        "the setting is missing; allowed: " + rule.allowed);
+        }
+    }
+    return values;
+}
+
+// replaces the path of a secret by the first line of its file
+auto read_secret(const std::string& flag, std::string& path_and_value) -> result<void>
+{
+    constexpr auto longest_line = std::size_t{4096};
+    if (path_and_value.empty()) {
+        return {};
+    }
+    auto file = std::ifstream{path_and_value};
+    auto line = std::string{};
+    if (!std::getline(file, line) || line.empty() || line.size() > longest_line) {
+        return fail(error_id::setting_file_unreadable, step::settings, flag,
+                    "the file \"" + path_and_value +
+                        "\" cannot be read; allowed: a readable file with one line of text");
+    }
+    path_and_value = line;
+    return {};
+}
+
+auto check_curve_key(const std::string& flag, const std::string& key) -> result<void>
+{
+    // Z85 writes 32 bytes as 40 characters (ZeroMQ RFC 32)
+    constexpr auto key_length = std::size_t{40};
+    if (!key.empty() && key.size() != key_length) {
+        return fail(error_id::setting_invalid, step::settings, flag,
+                    "the key in the file has " + std::to_string(key.size()) +
+                        " characters; allowed: 40 characters of Z85");
+    }
+    return {};
+}
+
+auto read_secrets(settings& values) -> result<void>
+{
+    BOOST_LEAF_CHECK(read_secret("admin-token-file", values.admin_token));
+    BOOST_LEAF_CHECK(read_secret("curve-secret-file", values.curve_secret_key));
+    BOOST_LEAF_CHECK(read_secret("curve-public-file", values.curve_public_key));
+    BOOST_LEAF_CHECK(check_curve_key("curve-secret-file", values.curve_secret_key));
+    BOOST_LEAF_CHECK(check_curve_key("curve-public-file", values.curve_public_key));
+    return {};
+}
+
+auto check_together(const settings& values) -> result<void>
+{
+    if (values.curve_secret_key.empty() != values.curve_public_key.empty()) {
+        return fail(error_id::setting_invalid, step::settings, "curve-secret-file",
+                    "only one of the two CURVE key files is set; allowed: both or none");
+    }
+    if (values.admin_token.empty() && !values.admin_address.starts_with("127.")) {
+        return fail(error_id::setting_invalid, step::settings, "admin-address",
+                    "the value \"" + values.admin_address +
+                        "\" is reachable from other machines; allowed: such an address together "
+                        "with admin-token-file, otherwise one that starts with 127.");
+    }
+    const auto same_port = values.listen_port != 0 && values.listen_port == values.admin_port;
+    if (same_port && values.listen_address == values.admin_address) {
+        return invalid("admin-port", std::to_string(values.admin_port),
+                       "a port other than listen-port");
+    }
+    return {};
+}
+
+} // namespace
+
+auto process_environment() -> environment
+{
+    auto variables = environment{};
+    for (auto** entry = environ; *entry != nullptr; ++entry) {
+        const auto text = std::string_view(*entry);
+        const auto equals = text.find('=');
+        if (equals != std::string_view::npos) {
+            variables.push_back(
+                {std::string(text.substr(0, equals)), std::string(text.substr(equals + 1))});
+        }
+    }
+    return variables;
+}
+
+auto variable_name(std::string_view flag) -> std::string
+{
+    auto name = std::string(variable_prefix);
+    for (const auto letter : flag) {
+        const auto upper = std::toupper(static_cast<unsigned char>(letter));
+        name += letter == '-' ? '_' : static_cast<char>(upper);
+    }
+    return name;
+}
+
+auto parse_settings(int argc, const char* const* argv, const environment& variables)
+    -> result<settings>
+{
+    const auto rules = all_rules();
+    const auto arguments = std::vector<std::string>(argv, argv + argc);
+    BOOST_LEAF_AUTO(given, read_arguments(arguments, rules));
+    if (given.help_shown) {
+        auto values = settings{};
+        values.help_shown = true;
+        return values;
+    }
+    BOOST_LEAF_CHECK(add_variables(variables, rules, given));
+    BOOST_LEAF_AUTO(values, store_values(rules, given));
+    BOOST_LEAF_CHECK(read_secrets(values));
+    BOOST_LEAF_CHECK(check_together(values));
+    return values;
+}
+
+} // namespace cyclamenpost
