--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -134,6 +134,7 @@
     std::deque<timer> delayed;
     int port = 0;
 
+    auto encrypted() const -> bool;
     auto check_client_key() const -> result<void>;
     auto secure_listener() -> result<void>;
     auto bind_listener() -> result<void>;
@@ -152,8 +153,17 @@
     auto close_idle() -> void;
 };
 
+/// A bus without keys listens on loopback only, for tests and demonstrations.
+auto bus::state::encrypted() const -> bool
+{
+    return !settings.keys.server_secret.empty() || !settings.listen_address.starts_with("127.");
+}
+
 auto bus::state::check_client_key() const -> result<void>
 {
+    if (!encrypted()) {
+        return {};
+    }
     auto decoded = std::array<std::uint8_t, key_bytes>{};
     const auto& key = settings.keys.client_public;
     if (key.size() != key_text_size || zmq_z85_decode(decoded.data(), key.c_str()) == nullptr) {
@@ -164,6 +174,9 @@
 
 auto bus::state::secure_listener() -> result<void>
 {
+    if (!encrypted()) {
+        return {};
+    }
     auto* socket = listener.get();
     const auto ok = set_int(socket, ZMQ_CURVE_SERVER, 1) &&
                     set_text(socket, ZMQ_CURVE_SECRETKEY, settings.keys.server_secret) &&
@@ -317,10 +330,11 @@
     set_int(socket.get(), ZMQ_IMMEDIATE, 1);
     set_int(socket.get(), ZMQ_SNDHWM, settings.queue_messages);
     set_int(socket.get(), ZMQ_RECONNECT_IVL_MAX, 2000);
-    const auto ok = set_text(socket.get(), ZMQ_CURVE_SERVERKEY, keys.server_public) &&
-                    set_text(socket.get(), ZMQ_CURVE_PUBLICKEY, keys.client_public) &&
-                    set_text(socket.get(), ZMQ_CURVE_SECRETKEY, keys.client_secret) &&
-                    zmq_connect(socket.get(), ("tcp://" + peer.address).c_str()) == 0;
+    const auto secured =
+        !encrypted() || (set_text(socket.get(), ZMQ_CURVE_SERVERKEY, keys.server_public) &&
+                         set_text(socket.get(), ZMQ_CURVE_PUBLICKEY, keys.client_public) &&
+                         set_text(socket.get(), ZMQ_CURVE_SECRETKEY, keys.client_secret));
+    const auto ok = secured && zmq_connect(socket.get(), ("tcp://" + peer.address).c_str()) == 0;
     if (!ok) {
         socket.reset();
     }
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -83,7 +83,8 @@
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
-// long-polled requests wait longer than the default of 20 s for their first byte
+// libwebsockets ends a client call whose first byte takes longer than this; its default of 5 s cuts
+// off long polls and long prefills, which have time limits of their own
 constexpr unsigned client_timeout_seconds = 3600;
 
 } // namespace
@@ -135,6 +136,7 @@
     info.max_http_header_data = 16384;
     info.max_http_header_pool = static_cast<unsigned short>(std::min(max_connections, 65535U));
     info.pt_serv_buf_size = 32768;
+    info.timeout_secs = client_timeout_seconds;
     state_->context = lws_create_context(&info);
 
     auto vhost = lws_context_creation_info{};
--- a/src/published_text.cpp
+++ b/src/published_text.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenpost/published_text.hpp"
 
+#include "cyclamenpost/backoff.hpp"
+
 #include <algorithm>
 
 namespace cyclamenpost {
@@ -172,16 +174,11 @@
     return published_text{transfer.wanted, std::move(text)};
 }
 
-auto retry_delay(unsigned attempt, double random) -> duration
+auto read_retry_delay(unsigned attempt, double random) -> duration
 {
     constexpr auto first_limit = duration{std::chrono::milliseconds{100}};
     constexpr auto last_limit = duration{std::chrono::seconds{5}};
-    // 100 ms x 2^6 is over the last limit
-    constexpr auto largest_exponent = 6U;
-    const auto limit =
-        std::min(first_limit * (1U << std::min(attempt, largest_exponent)), last_limit);
-    const auto share = std::clamp(random, 0.0, 1.0);
-    return duration{static_cast<duration::rep>(share * static_cast<double>(limit.count()))};
+    return full_jitter(first_limit, last_limit, attempt, random);
 }
 
 } // namespace cyclamenpost
--- a/src/retries.cpp
+++ b/src/retries.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenpost/retries.hpp"
 
+#include "cyclamenpost/backoff.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -149,10 +151,7 @@
 
 auto retry_delay(std::uint32_t attempt, double random) -> duration
 {
-    const auto doublings = std::min(attempt, 8U);
-    const auto ceiling = std::min(first_retry_delay * (1U << doublings), longest_retry_delay);
-    const auto share = std::clamp(random, 0.0, 1.0);
-    return duration{static_cast<duration::rep>(static_cast<double>(ceiling.count()) * share)};
+    return full_jitter(first_retry_delay, longest_retry_delay, attempt, random);
 }
 
 auto decide_retry(retry_budget& budget, const retry_input& attempt, time_point now) -> retry_verdict
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "cyclamenpost/http.hpp"
 
 using namespace cyclamenpost;
@@ -102,6 +106,29 @@
     CHECK(response.body == "half");
 }
 
+TEST_CASE("a sender that never completes its headers is cut off and others are served")
+{
+    auto limits = http_limits{};
+    limits.request_seconds = 1;
+    auto running = running_server{
+        [](const http_request&, const auto& exchange) { exchange->respond(200, {}, "ok"); },
+        limits};
+    const auto half_open = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    auto address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(running.server.port()));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(half_open, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    CHECK(running.exchange({}).status == 200);
+    const auto partial = std::string_view("GET /slow HTTP/1.1\r\nHost: x\r\n");
+    REQUIRE(send(half_open, partial.data(), partial.size(), 0) > 0);
+    auto byte = char{};
+    const auto closed = [&] { return recv(half_open, &byte, 1, MSG_DONTWAIT) == 0; };
+    const auto polling = running.loop.call_every(50ms, [] {});
+    CHECK(running.loop.run_until(closed, 20s));
+    close(half_open);
+}
+
 TEST_CASE("a body over the limit is refused and the listener keeps serving")
 {
     auto limits = http_limits{};
