Wake run_until when a timer makes its condition true

libwebsockets runs its timers and then polls within one service call, so run_until saw a condition that a posted call had made true only after the next unrelated event.

--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -33,6 +33,8 @@
     lws_context* context = nullptr;
     lws_vhost* client_vhost = nullptr;
     bool stopping = false;
+    /// Whether `run_until` has to check its condition after each event.
+    bool checking = false;
     std::deque<std::function<void()>> posted;
     timer post_timer;
     std::list<watched_descriptor> descriptors;
@@ -45,9 +47,20 @@
 
 auto schedule(const std::shared_ptr<detail::timer_state>& state, duration delay) -> void;
 
+// libwebsockets polls after its timers within one service call, so that a condition that a timer
+// made true would be seen only after the next unrelated event
+auto wake_checked_loop(lws_context* context) -> void
+{
+    const auto* loop = static_cast<const detail::loop_state*>(lws_context_user(context));
+    if (loop != nullptr && loop->checking) {
+        lws_cancel_service(context);
+    }
+}
+
 auto on_timer(lws_sorted_usec_list_t* entry) -> void
 {
     auto* raw = reinterpret_cast<detail::timer_state*>(entry);
+    wake_checked_loop(raw->context);
     const auto state = std::exchange(raw->self, nullptr);
     if (state->period.count() > 0) {
         schedule(state, state->period);
@@ -135,6 +148,7 @@
     info.max_http_header_data = 16384;
     info.max_http_header_pool = static_cast<unsigned short>(std::min(max_connections, 65535U));
     info.pt_serv_buf_size = 32768;
+    info.user = state_.get();
     state_->context = lws_create_context(&info);
 
     auto vhost = lws_context_creation_info{};
@@ -164,9 +178,11 @@
 auto event_loop::run_until(const std::function<bool()>& done, duration limit) -> bool
 {
     auto expired = false;
+    const auto outer = std::exchange(state_->checking, true);
     const auto deadline = call_after(limit, [&] { expired = true; });
     while (!done() && !expired && lws_service(state_->context, 0) >= 0) {
     }
+    state_->checking = outer;
     return done();
 }
 
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -172,3 +172,14 @@
     CHECK(running.loop.run_until([&] { return closed; }, 5s));
     CHECK(*end == call_end::cancelled);
 }
+
+TEST_CASE("a condition that a timer makes true is seen at once, without another event")
+{
+    auto loop = event_loop{};
+    auto late = false;
+    auto done = false;
+    const auto limit = loop.call_after(30s, [&] { late = true; });
+    loop.post([&] { done = true; });
+    CHECK(loop.run_until([&] { return done; }, 60s));
+    CHECK(!late);
+}
