--- a/fakes/fake_platform.cpp
+++ b/fakes/fake_platform.cpp
@@ -4,7 +4,7 @@
 
 #include <tclap/CmdLine.h>
 
-#include "platform_stand_in.hpp"
+#include "fake_platform.hpp"
 
 using namespace cyclamenpost;
 
@@ -48,7 +48,7 @@
 auto serve(const options& chosen) -> result<void>
 {
     auto loop = event_loop{};
-    auto platform = fakes::platform_stand_in{loop};
+    auto platform = fakes::fake_platform{loop};
     BOOST_LEAF_CHECK(loop.watch_signals([&](int) { loop.stop(); }));
     if (!chosen.config.empty()) {
         BOOST_LEAF_AUTO(text, read_file(chosen.config));
--- a/fakes/lib/platform_stand_in.cpp
+++ b/fakes/lib/fake_platform.cpp
@@ -1,4 +1,4 @@
-#include "platform_stand_in.hpp"
+#include "fake_platform.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -26,9 +26,9 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(event_loop& loop) : loop_(loop) {}
+fake_platform::fake_platform(event_loop& loop) : loop_(loop) {}
 
-auto platform_stand_in::start(const std::string& address, int port) -> result<void>
+auto fake_platform::start(const std::string& address, int port) -> result<void>
 {
     const auto on_request = [this, alive = std::weak_ptr(alive_)](const http_request& request,
                                                                   const exchange_ptr& exchange) {
@@ -39,17 +39,17 @@
     return server_.start(loop_, address, port, {}, on_request);
 }
 
-auto platform_stand_in::port() const -> int
+auto fake_platform::port() const -> int
 {
     return server_.port();
 }
 
-auto platform_stand_in::value(published_kind kind) -> published_value&
+auto fake_platform::value(published_kind kind) -> published_value&
 {
     return kind == published_kind::operator_text ? config_ : instances_;
 }
 
-auto platform_stand_in::publish_config(std::string text, std::uint64_t version) -> void
+auto fake_platform::publish_config(std::string text, std::uint64_t version) -> void
 {
     auto& versions = config_.versions;
     const auto next = versions.empty() ? 1 : versions.back().id.version + 1;
@@ -58,7 +58,7 @@
     answer_watches();
 }
 
-auto platform_stand_in::publish_instances(std::string json) -> result<void>
+auto fake_platform::publish_instances(std::string json) -> result<void>
 {
     BOOST_LEAF_AUTO(list, parse_instance_list(json));
     const auto digest = text_digest(json);
@@ -67,13 +67,12 @@
     return {};
 }
 
-auto platform_stand_in::set_alternate(published_kind kind, std::string text) -> void
+auto fake_platform::set_alternate(published_kind kind, std::string text) -> void
 {
     value(kind).alternate = std::move(text);
 }
 
-auto platform_stand_in::set_mode(platform_mode mode, std::uint64_t delay_ms, std::uint64_t back)
-    -> void
+auto fake_platform::set_mode(platform_mode mode, std::uint64_t delay_ms, std::uint64_t back) -> void
 {
     mode_ = mode;
     delay_ms_ = delay_ms;
@@ -89,14 +88,14 @@
     answer_watches();
 }
 
-auto platform_stand_in::calls() const -> platform_calls
+auto fake_platform::calls() const -> platform_calls
 {
     auto counted = calls_;
     counted.waiting = waiting_.size();
     return counted;
 }
 
-auto platform_stand_in::served(published_kind kind) -> const published_text*
+auto fake_platform::served(published_kind kind) -> const published_text*
 {
     const auto& published = value(kind);
     if (published.versions.empty()) {
@@ -106,7 +105,7 @@
                                          : &published.versions.back();
 }
 
-auto platform_stand_in::handle(const http_request& request, const exchange_ptr& exchange) -> void
+auto fake_platform::handle(const http_request& request, const exchange_ptr& exchange) -> void
 {
     if (request.path.starts_with("/control/")) {
         control(request, exchange);
@@ -122,7 +121,7 @@
     }
 }
 
-auto platform_stand_in::control(const http_request& request, const exchange_ptr& exchange) -> void
+auto fake_platform::control(const http_request& request, const exchange_ptr& exchange) -> void
 {
     const auto alternate = query_value(request.query, "alternate") == "true";
     if (request.path == "/control/calls") {
@@ -156,8 +155,7 @@
     exchange->respond(problem.empty() ? status_ok : status_invalid, {}, problem);
 }
 
-auto platform_stand_in::change_mode(const http_request& request, const exchange_ptr& exchange)
-    -> void
+auto fake_platform::change_mode(const http_request& request, const exchange_ptr& exchange) -> void
 {
     const auto document = nlohmann::json::parse(request.body, nullptr, false);
     const auto name = document.is_object() ? document.value("mode", "") : std::string{};
@@ -171,8 +169,8 @@
     exchange->respond(status_ok, {}, "");
 }
 
-auto platform_stand_in::read(published_kind kind, const http_request& request,
-                             const exchange_ptr& exchange) -> void
+auto fake_platform::read(published_kind kind, const http_request& request,
+                         const exchange_ptr& exchange) -> void
 {
     const auto is_watch = !query_value(request.query, "watch").empty();
     ++(is_watch ? calls_.watches : calls_.reads);
@@ -194,8 +192,8 @@
     answer(kind, exchange);
 }
 
-auto platform_stand_in::hold(published_kind kind, std::uint64_t above, std::uint64_t timeout_ms,
-                             const exchange_ptr& exchange) -> void
+auto fake_platform::hold(published_kind kind, std::uint64_t above, std::uint64_t timeout_ms,
+                         const exchange_ptr& exchange) -> void
 {
     waiting_.push_back({kind, above, exchange, {}});
     const auto place = std::prev(waiting_.end());
@@ -211,7 +209,7 @@
     });
 }
 
-auto platform_stand_in::answer(published_kind kind, const exchange_ptr& exchange) -> void
+auto fake_platform::answer(published_kind kind, const exchange_ptr& exchange) -> void
 {
     const auto& current = *served(kind);
     const auto& alternate = value(kind).alternate;
@@ -225,13 +223,13 @@
     later([exchange, headers, body] { exchange->respond(status_ok, headers, body); });
 }
 
-auto platform_stand_in::later(std::function<void()> action) -> void
+auto fake_platform::later(std::function<void()> action) -> void
 {
     delayed_.remove_if([](const auto& each) { return !each.pending(); });
     delayed_.push_back(loop_.call_after(std::chrono::milliseconds{delay_ms_}, std::move(action)));
 }
 
-auto platform_stand_in::answer_watches() -> void
+auto fake_platform::answer_watches() -> void
 {
     auto due = std::vector<waiting_watch>{};
     for (auto watch = waiting_.begin(); watch != waiting_.end();) {
--- a/fakes/lib/platform_stand_in.hpp
+++ b/fakes/lib/fake_platform.hpp
@@ -55,11 +55,11 @@
 /// `POST /control/instances[?alternate=true]` with the JSON, `GET /control/calls`, and
 /// `POST /control/mode` with `{"mode":"normal|stale|down|slow|split","delay_ms":N,"back":N}`;
 /// `back` makes a stale service serve the value that many versions before the newest.
-class platform_stand_in {
+class fake_platform {
 public:
-    explicit platform_stand_in(event_loop& loop);
-    platform_stand_in(const platform_stand_in&) = delete;
-    auto operator=(const platform_stand_in&) -> platform_stand_in& = delete;
+    explicit fake_platform(event_loop& loop);
+    fake_platform(const fake_platform&) = delete;
+    auto operator=(const fake_platform&) -> fake_platform& = delete;
 
     /// Listens for readers and control calls.
     auto start(const std::string& address, int port) -> result<void>;
--- a/include/cyclamenpost/published_text.hpp
+++ b/include/cyclamenpost/published_text.hpp
@@ -128,8 +128,8 @@
 /// with `config_digest_mismatch` when the text is not the one that was offered.
 auto finish_transfer(const text_transfer& transfer) -> result<published_text>;
 
-/// Full jitter (Brooker 2015): a delay between zero and the smaller of 100 ms x 2^attempt and 5 s.
-/// `random` is uniform in [0, 1).
-auto retry_delay(unsigned attempt, double random) -> duration;
+/// Delay before the next call to the platform, with full jitter (Brooker 2015): a time between zero
+/// and the smaller of 100 ms x 2^attempt and 5 s. `random` is uniform in [0, 1).
+auto platform_retry_delay(unsigned attempt, double random) -> duration;
 
 } // namespace cyclamenpost
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -144,8 +144,8 @@
     // names are at most this long; the distance takes quadratic time
     constexpr auto longest_compared = std::size_t{128};
     auto best = std::string{};
-    // a name that differs in more than a third of the letters is not a typing error
-    auto best_distance = std::max<std::size_t>(word.size() / 3, 1) + 1;
+    // a name that differs in more than a third of the letters, rounded up, is not a typing error
+    auto best_distance = (word.size() + 2) / 3 + 1;
     if (word.size() > longest_compared) {
         return best;
     }
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -76,7 +76,7 @@
 auto retry_later(const shared_state& state, value_reader& reader) -> void
 {
     const auto random = std::uniform_real_distribution<double>{}(state->random);
-    reader.retry = state->loop.call_after(retry_delay(reader.attempt, random),
+    reader.retry = state->loop.call_after(platform_retry_delay(reader.attempt, random),
                                           [weak = std::weak_ptr(state), &reader] {
                                               if (const auto alive = weak.lock()) {
                                                   begin_next(alive, reader);
--- a/src/published_text.cpp
+++ b/src/published_text.cpp
@@ -172,7 +172,7 @@
     return published_text{transfer.wanted, std::move(text)};
 }
 
-auto retry_delay(unsigned attempt, double random) -> duration
+auto platform_retry_delay(unsigned attempt, double random) -> duration
 {
     constexpr auto first_limit = duration{std::chrono::milliseconds{100}};
     constexpr auto last_limit = duration{std::chrono::seconds{5}};
--- a/tests/unit-config_state.cpp
+++ b/tests/unit-config_state.cpp
@@ -257,8 +257,8 @@
 
 TEST_CASE("retries of a whole fleet stay within the platform's rate during an outage")
 {
-    CHECK(retry_delay(0, 0.5) == 50ms);
-    CHECK(retry_delay(100, 0.999999) <= 5s);
+    CHECK(platform_retry_delay(0, 0.5) == 50ms);
+    CHECK(platform_retry_delay(100, 0.999999) <= 5s);
     // 390 instances with two values each, over 20 s after the first seconds of an outage
     auto calls = 0;
     auto random = std::uint64_t{1};
@@ -266,7 +266,7 @@
         auto time = duration{};
         for (auto attempt = 0U; time < 40s; ++attempt) {
             random = hash64("jitter", random);
-            time += retry_delay(attempt, static_cast<double>(random % 10000) / 10000);
+            time += platform_retry_delay(attempt, static_cast<double>(random % 10000) / 10000);
             calls += time >= 20s && time < 40s ? 1 : 0;
         }
     }
--- a/tests/unit-platform_client.cpp
+++ b/tests/unit-platform_client.cpp
@@ -3,7 +3,7 @@
 #include "cyclamenpost/config_state.hpp"
 #include "cyclamenpost/instance_list.hpp"
 #include "cyclamenpost/platform_client.hpp"
-#include "platform_stand_in.hpp"
+#include "fake_platform.hpp"
 
 using namespace cyclamenpost;
 using namespace cyclamenpost::fakes;
@@ -25,7 +25,7 @@
 
 struct world {
     event_loop loop;
-    platform_stand_in platform{loop};
+    fake_platform platform{loop};
     config_state config;
     list_state list;
     std::vector<error> failures;
