--- a/include/cyclamenpost/bus.hpp
+++ b/include/cyclamenpost/bus.hpp
@@ -17,7 +17,7 @@
 inline constexpr std::uint32_t bus_protocol_version = 1;
 
 /// Largest encoded message that the bus sends or accepts, in bytes.
-inline constexpr std::size_t max_bus_message_bytes = 64 * 1024;
+inline constexpr std::size_t max_bus_message_bytes = 65536;
 
 /// CURVE keys of the fleet in Z85 text (40 characters each). All instances share the server pair
 /// and the client pair; an instance accepts only clients that hold the client pair.
--- a/tests/virtual_fleet.hpp
+++ b/tests/virtual_fleet.hpp
@@ -49,12 +49,12 @@
         for (auto record : listed) {
             if (record.identity.id == id) {
                 record.identity.incarnation = random() | 1U;
-                record.identity.start_ms = 1'764'800'000'000 + ++starts;
+                record.identity.start_ms = 1'764'800'000'000 + ++starts_;
                 auto& node = nodes[id];
                 node = {};
                 node.state = start_membership(settings, record, now);
                 apply_instance_list(node.state, list_version, listed, now);
-                last_ticks[id] = now + duration{static_cast<std::int64_t>(random() % 100'000)};
+                last_ticks_[id] = now + duration{static_cast<std::int64_t>(random() % 100'000)};
             }
         }
     }
@@ -121,10 +121,10 @@
             }
             const auto spread =
                 jitter.count() > 0 ? random() % static_cast<std::uint64_t>(jitter.count()) : 0;
-            in_flight.push({now + delay + duration{static_cast<std::int64_t>(spread)},
-                            ++sent,
-                            message.to,
-                            {from.state.self.identity, std::move(message.message)}});
+            in_flight_.push({now + delay + duration{static_cast<std::int64_t>(spread)},
+                             ++sent_,
+                             message.to,
+                             {from.state.self.identity, std::move(message.message)}});
         }
     }
 
@@ -156,9 +156,9 @@
     auto deliver() -> void
     {
         auto held = std::vector<flight>{};
-        while (!in_flight.empty() && in_flight.top().arrival <= now) {
-            auto next = in_flight.top();
-            in_flight.pop();
+        while (!in_flight_.empty() && in_flight_.top().arrival <= now) {
+            auto next = in_flight_.top();
+            in_flight_.pop();
             auto& receiver = nodes.at(next.to);
             if (receiver.running && receiver.paused_until > now) {
                 // a paused process finds its messages in the socket buffer when it wakes
@@ -170,7 +170,7 @@
             }
         }
         for (auto& late : held) {
-            in_flight.push(std::move(late));
+            in_flight_.push(std::move(late));
         }
     }
 
@@ -178,7 +178,7 @@
     {
         constexpr auto period = std::chrono::milliseconds{100};
         for (auto& [id, node] : nodes) {
-            auto& last = last_ticks[id];
+            auto& last = last_ticks_[id];
             if (node.running && node.paused_until <= now && now >= last + period) {
                 last = now;
                 carry(node, on_tick(node.state, now, random));
@@ -186,10 +186,10 @@
         }
     }
 
-    std::priority_queue<flight> in_flight;
-    std::map<std::string, time_point> last_ticks;
-    std::uint64_t sent = 0;
-    std::uint64_t starts = 0;
+    std::priority_queue<flight> in_flight_;
+    std::map<std::string, time_point> last_ticks_;
+    std::uint64_t sent_ = 0;
+    std::uint64_t starts_ = 0;
 };
 
 } // namespace cyclamenpost
