Tell suspected members at once and stop repeating known starts

Change: the instance that suspects a member probes it at once and every period, and the probe carries the suspicion. Records of plain starts that peers repeat count as transmissions. The health multiplier rises after the suspicion is raised, so that a first failure does not lengthen its own suspicion.

--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -182,6 +182,8 @@
     bool listed = false;
     time_point changed{};
     time_point dead_at{};
+    /// This instance raised the current suspicion itself and tells the member until it ends.
+    bool own_suspicion = false;
     /// Times of recent transitions, newest last, for flap damping.
     std::deque<time_point> transitions;
     time_point announced{};
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -129,6 +129,24 @@
     auto record = found->second.record;
     record.state = member_state::suspect;
     detail::merge_record(state, std::move(record), now, step);
+    found->second.own_suspicion = true;
+    send_probe(state, id, now, step);
+}
+
+/// Tells the members that this instance suspects. Without this, 5% loss let a suspicion overtake
+/// its refutation between zones, and members died falsely.
+auto tell_suspects(membership_state& state, time_point now, membership_step& step) -> void
+{
+    auto suspects = std::vector<std::string>{};
+    for (auto& [id, entry] : state.members) {
+        entry.own_suspicion = entry.own_suspicion && entry.record.state == member_state::suspect;
+        if (entry.own_suspicion) {
+            suspects.push_back(id);
+        }
+    }
+    for (const auto& id : suspects) {
+        send_probe(state, id, now, step);
+    }
 }
 
 auto check_probes(membership_state& state, time_point now, std::mt19937_64& random,
@@ -155,9 +173,9 @@
     }
     for (const auto& id : failed) {
         const auto* record = detail::record_of(state, id);
-        if (record != nullptr && record->state != member_state::dead) {
-            state.health = std::min(state.health + 1, state.settings.max_health);
+        if (record != nullptr && record->state < member_state::suspect) {
             suspect(state, id, now, step);
+            state.health = std::min(state.health + 1, state.settings.max_health);
         }
     }
 }
@@ -253,6 +271,7 @@
                 membership_step& step) -> void
 {
     detail::announce_held(state, now);
+    tell_suspects(state, now, step);
     for (const auto& id : zone_targets(state, random)) {
         send_probe(state, id, now, step);
     }
--- a/src/membership_table.cpp
+++ b/src/membership_table.cpp
@@ -79,6 +79,23 @@
     }
 }
 
+/// Counts the record of a plain start that a peer repeats as transmissions of the own copy, since
+/// most peers know it by then (feedback of Demers et al. 1987). Suspicions and refutations are not
+/// cut short: with 5% loss, refutations then missed other zones and members died falsely.
+auto count_repetition(membership_state& state, const member_record& record) -> void
+{
+    if (record.state != member_state::alive || record.refutation != 0) {
+        return;
+    }
+    const auto& id = record.identity.id;
+    constexpr unsigned transmissions_saved = 4;
+    const auto queued = std::find_if(state.updates.begin(), state.updates.end(),
+                                     [&](const auto& update) { return update.id == id; });
+    if (queued != state.updates.end()) {
+        queued->sent += transmissions_saved;
+    }
+}
+
 auto insert_record(membership_state& state, member_record record, time_point now,
                    membership_step& step) -> void
 {
@@ -118,6 +135,9 @@
     }
     auto& entry = found->second;
     if (!supersedes(record, entry.record)) {
+        if (!supersedes(entry.record, record)) {
+            count_repetition(state, entry.record);
+        }
         return;
     }
     keep_addresses(record, entry.record);
@@ -179,7 +199,7 @@
     }
     std::stable_sort(state.updates.begin(), state.updates.end(),
                      [](const auto& left, const auto& right) { return left.sent < right.sent; });
-    const auto audience = std::max(zone_peers(state).size(), other_zones(state).size()) + 1;
+    const auto audience = std::max(zone_peers(state).size() + 1, state.zone_hashes.size());
     const auto most =
         state.settings.transmissions * static_cast<unsigned>(std::bit_width(audience));
     for (auto& update : state.updates) {
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -83,7 +83,7 @@
 
 TEST_CASE("loss and jitter between and within zones cause no false death")
 {
-    for (const auto seed : {1U, 2U, 3U, 4U, 5U}) {
+    for (auto seed = 1U; seed <= 20; ++seed) {
         CAPTURE(seed);
         auto fleet = virtual_fleet{27, 3, 1, seed};
         fleet.loss = 0.05;
