Probe few other zones only once a period

Cause: with two other zones both representatives probed both every period. Change: a representative probes at most half of the other zones, rounded up.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -240,7 +240,9 @@
                  membership_step& step) -> void
 {
     const auto zones = detail::other_zones(state);
-    const auto count = std::min<std::size_t>(state.settings.zones_per_period, zones.size());
+    // the two representatives together reach every zone once a period when there are few
+    const auto count =
+        std::min<std::size_t>(state.settings.zones_per_period, (zones.size() + 1) / 2);
     for (std::size_t index = 0; index < count; ++index) {
         const auto zone = next_in_order(state.zone_order, zones, random);
         const auto chosen = representatives(state, zone);
