Send loads by position in the model catalogue

Cause: four of seven bytes of a model's load were its key. Change: loads travel by position in the sorted list of the operator text's models, whose digest each summary carries; another catalogue's loads are left out, which lasts only while a new text spreads.

--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -71,10 +71,22 @@
     std::cout << row.dump() << '\n';
 }
 
+auto catalogue() -> const model_catalogue&
+{
+    static const auto made = [] {
+        auto names = std::vector<std::string>{};
+        for (unsigned model = 0; model < model_count; ++model) {
+            names.push_back("model-" + std::to_string(model));
+        }
+        return make_catalogue(names);
+    }();
+    return made;
+}
+
 auto encode(const outgoing_message& message, const member_identity& from, time_point now)
     -> std::string
 {
-    auto envelope = to_wire(message.message, now);
+    auto envelope = to_wire(message.message, now, catalogue());
     envelope.set_protocol_version(bus_protocol_version);
     set_sender(envelope, from);
     return envelope.SerializeAsString();
@@ -226,7 +238,7 @@
     const auto decoding = cpu_per_call(samples, [&](const sample& each) {
         auto envelope = wire::envelope{};
         envelope.ParseFromString(each.bytes);
-        total_size += from_wire(envelope, now)->message.updates.size();
+        total_size += from_wire(envelope, now, catalogue())->message.updates.size();
     });
     const auto handling = cpu_per_call(samples, [&](const sample& each) {
         auto& state = fleet.node(each.to).state;
--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -65,6 +65,17 @@
     time_point measured{};
 };
 
+/// The models of the operator text, which both ends of a message know. Loads of a catalogue's
+/// models travel by position instead of by key.
+struct model_catalogue {
+    /// Sorted keys.
+    std::vector<std::uint32_t> models;
+    std::uint32_t digest = 0;
+};
+
+/// Makes a catalogue from model names.
+auto make_catalogue(const std::vector<std::string>& names) -> model_catalogue;
+
 /// Timing and limits of failure detection and dissemination.
 struct membership_settings {
     duration probe_period = std::chrono::seconds{1};
--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -160,6 +160,23 @@
     return ids;
 }
 
+auto make_catalogue(const std::vector<std::string>& names) -> model_catalogue
+{
+    auto catalogue = model_catalogue{};
+    for (const auto& name : names) {
+        catalogue.models.push_back(name_key(name));
+    }
+    auto& models = catalogue.models;
+    std::sort(models.begin(), models.end());
+    models.erase(std::unique(models.begin(), models.end()), models.end());
+    auto bytes = std::string{};
+    for (const auto model : models) {
+        bytes += to_hex(model);
+    }
+    catalogue.digest = name_key(bytes);
+    return catalogue;
+}
+
 auto report_load(membership_state& state, std::vector<model_load> models, time_point now) -> void
 {
     std::sort(models.begin(), models.end(),
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -43,35 +43,94 @@
                          update.bus()};
 }
 
-auto write_sums(const load_sums& sums, time_point now, wire::load_summary& summary) -> void
+/// Position of a model in the catalogue, or its size when it is not there.
+auto position_of(const model_catalogue& catalogue, std::uint32_t model) -> std::size_t
 {
+    const auto& models = catalogue.models;
+    const auto found = std::lower_bound(models.begin(), models.end(), model);
+    const auto known = found != models.end() && *found == model;
+    return known ? static_cast<std::size_t>(found - models.begin()) : models.size();
+}
+
+/// Whether all loads belong to the catalogue.
+auto covers(const model_catalogue& catalogue, const load_sums& sums) -> bool
+{
+    return std::all_of(sums.models.begin(), sums.models.end(), [&](const auto& load) {
+        return position_of(catalogue, load.model) < catalogue.models.size();
+    });
+}
+
+auto write_sums(const load_sums& sums, time_point now, const model_catalogue& catalogue,
+                wire::load_summary& summary) -> void
+{
+    const auto by_position = !sums.models.empty() && covers(catalogue, sums);
+    const auto complete = sums.models.size() == catalogue.models.size();
+    if (by_position) {
+        summary.set_catalogue(catalogue.digest);
+    }
     for (const auto& load : sums.models) {
-        summary.add_models(load.model);
+        if (!by_position) {
+            summary.add_models(load.model);
+        }
+        else if (!complete) {
+            summary.add_positions(static_cast<std::uint32_t>(position_of(catalogue, load.model)));
+        }
         summary.add_engines(load.engines);
         summary.add_cost(static_cast<std::uint32_t>(load.cost));
     }
     summary.set_age_ms(age_ms(sums.measured, now));
 }
 
-auto read_sums(const wire::load_summary& summary, time_point now) -> std::optional<load_sums>
+/// Keys of the models of a summary. Nothing when a position is out of range.
+auto read_models(const wire::load_summary& summary, const model_catalogue& catalogue)
+    -> std::optional<std::vector<std::uint32_t>>
 {
-    if (summary.engines_size() != summary.models_size() ||
-        summary.cost_size() != summary.models_size()) {
-        return std::nullopt;
+    if (summary.catalogue() == 0) {
+        return std::vector<std::uint32_t>{summary.models().begin(), summary.models().end()};
+    }
+    if (summary.positions().empty()) {
+        return catalogue.models;
+    }
+    auto models = std::vector<std::uint32_t>{};
+    for (const auto position : summary.positions()) {
+        if (position >= catalogue.models.size()) {
+            return std::nullopt;
+        }
+        models.push_back(catalogue.models[position]);
     }
+    return models;
+}
+
+auto read_sums(const wire::load_summary& summary, time_point now, const model_catalogue& catalogue)
+    -> std::optional<load_sums>
+{
     auto sums = load_sums{};
     sums.measured = now - std::chrono::milliseconds{summary.age_ms()};
-    for (auto index = 0; index < summary.models_size(); ++index) {
+    const auto models = read_models(summary, catalogue);
+    const auto count = models ? models->size() : 0;
+    if (!models || static_cast<std::size_t>(summary.engines_size()) != count ||
+        static_cast<std::size_t>(summary.cost_size()) != count) {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0; index < count; ++index) {
         // sums are merged in the order of the keys
-        if (index > 0 && summary.models(index) <= summary.models(index - 1)) {
+        if (index > 0 && (*models)[index] <= (*models)[index - 1]) {
             return std::nullopt;
         }
-        sums.models.push_back({summary.models(index), summary.engines(index), summary.cost(index)});
+        const auto at = static_cast<int>(index);
+        sums.models.push_back({(*models)[index], summary.engines(at), summary.cost(at)});
     }
     return sums;
 }
 
-auto write_gossip(const gossip_message& message, time_point now, wire::gossip& gossip) -> void
+/// Whether the summary can be read with this catalogue.
+auto is_readable(const wire::load_summary& summary, const model_catalogue& catalogue) -> bool
+{
+    return summary.catalogue() == 0 || summary.catalogue() == catalogue.digest;
+}
+
+auto write_gossip(const gossip_message& message, time_point now, const model_catalogue& catalogue,
+                  wire::gossip& gossip) -> void
 {
     gossip.set_seq(message.seq);
     for (const auto& record : message.updates) {
@@ -81,15 +140,15 @@
     gossip.set_config_digest(message.config_digest);
     gossip.set_list_version(message.list_version);
     if (message.load) {
-        write_sums(*message.load, now, *gossip.mutable_load());
+        write_sums(*message.load, now, catalogue, *gossip.mutable_load());
     }
     for (const auto& zone : message.zone_loads) {
         auto* summary = gossip.add_zone_loads();
         summary->set_zone(zone.zone);
-        write_sums(zone.sums, now, *summary);
+        write_sums(zone.sums, now, catalogue, *summary);
     }
     if (message.fleet_load) {
-        write_sums(*message.fleet_load, now, *gossip.mutable_fleet_load());
+        write_sums(*message.fleet_load, now, catalogue, *gossip.mutable_fleet_load());
     }
     gossip.set_table_digest(message.table_digest);
     for (const auto& zone : message.zone_digests) {
@@ -113,26 +172,36 @@
     return true;
 }
 
-auto read_loads(const wire::gossip& gossip, time_point now, gossip_message& message) -> bool
+/// Reads one optional summary. Returns false when it is malformed.
+auto read_load(bool present, const wire::load_summary& summary, time_point now,
+               const model_catalogue& catalogue, std::optional<load_sums>& into) -> bool
 {
-    if (gossip.has_load()) {
-        message.load = read_sums(gossip.load(), now);
-    }
-    if (gossip.has_fleet_load()) {
-        message.fleet_load = read_sums(gossip.fleet_load(), now);
+    if (!present || !is_readable(summary, catalogue)) {
+        return true;
     }
+    into = read_sums(summary, now, catalogue);
+    return into.has_value();
+}
+
+auto read_loads(const wire::gossip& gossip, time_point now, const model_catalogue& catalogue,
+                gossip_message& message) -> bool
+{
     for (const auto& summary : gossip.zone_loads()) {
-        auto sums = read_sums(summary, now);
-        if (!sums) {
+        auto sums = std::optional<load_sums>{};
+        if (!read_load(true, summary, now, catalogue, sums)) {
             return false;
         }
-        message.zone_loads.push_back({summary.zone(), std::move(*sums)});
+        if (sums) {
+            message.zone_loads.push_back({summary.zone(), std::move(*sums)});
+        }
     }
-    return message.load.has_value() == gossip.has_load() &&
-           message.fleet_load.has_value() == gossip.has_fleet_load();
+    return read_load(gossip.has_load(), gossip.load(), now, catalogue, message.load) &&
+           read_load(gossip.has_fleet_load(), gossip.fleet_load(), now, catalogue,
+                     message.fleet_load);
 }
 
-auto read_gossip(const wire::gossip& gossip, time_point now, gossip_message& message) -> bool
+auto read_gossip(const wire::gossip& gossip, time_point now, const model_catalogue& catalogue,
+                 gossip_message& message) -> bool
 {
     message.seq = gossip.seq();
     message.config_version = gossip.config_version();
@@ -143,7 +212,7 @@
     for (const auto& digest : gossip.zone_digests()) {
         message.zone_digests.push_back({digest.zone(), digest.digest()});
     }
-    return read_records(gossip.updates(), message) && read_loads(gossip, now, message);
+    return read_records(gossip.updates(), message) && read_loads(gossip, now, catalogue, message);
 }
 
 auto read_sync(const wire::member_sync& sync, gossip_message& message) -> bool
@@ -156,15 +225,16 @@
     return read_records(sync.updates(), message);
 }
 
-auto read_body(const wire::envelope& envelope, time_point now, gossip_message& message) -> bool
+auto read_body(const wire::envelope& envelope, time_point now, const model_catalogue& catalogue,
+               gossip_message& message) -> bool
 {
     switch (envelope.body_case()) {
     case wire::envelope::kProbe:
         message.kind = gossip_kind::probe;
-        return read_gossip(envelope.probe().gossip(), now, message);
+        return read_gossip(envelope.probe().gossip(), now, catalogue, message);
     case wire::envelope::kProbeAck:
         message.kind = gossip_kind::probe_ack;
-        return read_gossip(envelope.probe_ack().gossip(), now, message);
+        return read_gossip(envelope.probe_ack().gossip(), now, catalogue, message);
     case wire::envelope::kIndirectProbe:
         message.kind = gossip_kind::indirect_probe;
         message.seq = envelope.indirect_probe().seq();
@@ -192,15 +262,16 @@
 
 } // namespace
 
-auto to_wire(const gossip_message& message, time_point now) -> wire::envelope
+auto to_wire(const gossip_message& message, time_point now, const model_catalogue& catalogue)
+    -> wire::envelope
 {
     auto envelope = wire::envelope{};
     switch (message.kind) {
     case gossip_kind::probe:
-        write_gossip(message, now, *envelope.mutable_probe()->mutable_gossip());
+        write_gossip(message, now, catalogue, *envelope.mutable_probe()->mutable_gossip());
         break;
     case gossip_kind::probe_ack:
-        write_gossip(message, now, *envelope.mutable_probe_ack()->mutable_gossip());
+        write_gossip(message, now, catalogue, *envelope.mutable_probe_ack()->mutable_gossip());
         break;
     case gossip_kind::indirect_probe:
         envelope.mutable_indirect_probe()->set_seq(message.seq);
@@ -220,12 +291,13 @@
     envelope.set_from_start_ms(sender.start_ms);
 }
 
-auto from_wire(const wire::envelope& envelope, time_point now) -> std::optional<incoming_message>
+auto from_wire(const wire::envelope& envelope, time_point now, const model_catalogue& catalogue)
+    -> std::optional<incoming_message>
 {
     auto incoming = incoming_message{};
     incoming.from = {envelope.from_instance(), envelope.from_incarnation(),
                      envelope.from_start_ms()};
-    if (incoming.from.id.empty() || !read_body(envelope, now, incoming.message)) {
+    if (incoming.from.id.empty() || !read_body(envelope, now, catalogue, incoming.message)) {
         return std::nullopt;
     }
     return incoming;
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -261,3 +261,30 @@
     envelope.mutable_probe()->mutable_gossip()->mutable_updates(0)->set_state(9);
     CHECK(!from_wire(envelope, time_point{20s}));
 }
+
+TEST_CASE("loads by catalogue position are read alike, and left out under another catalogue")
+{
+    const auto catalogue = make_catalogue({"m1", "m2", "m3"});
+    auto message = gossip_message{};
+    for (const auto count : {1U, 3U}) {
+        CAPTURE(count);
+        message.load = load_sums{};
+        for (auto index = 0U; index < count; ++index) {
+            message.load->models.push_back({catalogue.models[index], 1, index});
+        }
+        auto envelope = to_wire(message, time_point{}, catalogue);
+        set_sender(envelope, {"a", 1, 2});
+        CHECK(envelope.probe().gossip().load().models().empty());
+        const auto same = from_wire(envelope, time_point{}, catalogue);
+        REQUIRE(same);
+        REQUIRE(same->message.load->models.size() == count);
+        CHECK(same->message.load->models.back().model == message.load->models.back().model);
+        const auto other = from_wire(envelope, time_point{}, make_catalogue({"m1", "m2", "m4"}));
+        REQUIRE(other);
+        CHECK(!other->message.load);
+    }
+    message.load = load_sums{{{77, 1, 1}}, {}};
+    auto unlisted = to_wire(message, time_point{}, catalogue);
+    set_sender(unlisted, {"a", 1, 2});
+    CHECK(from_wire(unlisted, time_point{}, catalogue)->message.load->models[0].model == 77);
+}
