Let other members of large zones collect the loads

Cause: a representative both collected the loads of half its zone and exchanged sums with other zones. Change: in zones of more than eight members, four other members collect, assigned evenly by rank; of the two representatives only the first asks the other.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -34,6 +34,16 @@
     return message;
 }
 
+/// Whether this instance and the given one represent the own zone.
+auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool
+{
+    const auto chosen = representatives(state, state.self.zone);
+    const auto has = [&](const std::string& member) {
+        return std::find(chosen.begin(), chosen.end(), member) != chosen.end();
+    };
+    return has(state.self.identity.id) && has(id);
+}
+
 auto add_loads(membership_state& state, gossip_message& message, const member_record& to,
                time_point now) -> void
 {
@@ -43,19 +53,13 @@
         }
         return;
     }
-    const auto chosen = representatives(state, state.self.zone);
-    const auto represents = [&](const std::string& id) {
-        return std::find(chosen.begin(), chosen.end(), id) != chosen.end();
-    };
-    if (represents(state.self.identity.id)) {
-        if (represents(to.identity.id)) {
-            message.load = detail::collected_load(state, now);
-        }
+    if (is_fellow_representative(state, to.identity.id)) {
+        message.load = detail::collected_load(state, now);
         return;
     }
-    if (detail::collector_of(chosen, state.self.identity.id) == to.identity.id) {
-        message.load = state.own_load;
-        message.load->measured = now;
+    const auto ranked = detail::ranked_members(state, state.self.zone);
+    if (detail::collector_of(ranked, state.self.identity.id) == to.identity.id) {
+        message.load = detail::collected_load(state, now);
         message.load_wanted = true;
     }
 }
@@ -223,13 +227,12 @@
 {
     auto targets = std::set<std::string>{};
     targets.insert(next_in_order(state.probe_order, detail::zone_peers(state), random));
-    const auto chosen = representatives(state, state.self.zone);
     const auto& self = state.self.identity.id;
-    if (std::find(chosen.begin(), chosen.end(), self) != chosen.end()) {
-        targets.insert(chosen.begin(), chosen.end());
-    }
-    else {
-        targets.insert(detail::collector_of(chosen, self));
+    const auto ranked = detail::ranked_members(state, state.self.zone);
+    targets.insert(detail::collector_of(ranked, self));
+    // one of the two representatives asks, the other's load comes with the acknowledgement
+    if (ranked.size() > 1 && ranked[0] == self) {
+        targets.insert(ranked[1]);
     }
     targets.erase("");
     targets.erase(self);
@@ -346,6 +349,9 @@
     }
     auto ack = basic_gossip(state, gossip_kind::probe_ack, *from);
     ack.seq = incoming.message.seq;
+    if (is_fellow_representative(state, incoming.from.id)) {
+        ack.load = detail::collected_load(state, now);
+    }
     if (incoming.message.load_wanted) {
         ack.fleet_load = detail::known_fleet_load(state, now);
     }
--- a/src/membership_detail.hpp
+++ b/src/membership_detail.hpp
@@ -46,9 +46,14 @@
 /// Whether this instance represents its zone.
 auto is_representative(const membership_state& state) -> bool;
 
-/// The representative that collects the load of a member; empty when there is none.
-auto collector_of(const std::vector<std::string>& zone_representatives, const std::string& id)
-    -> std::string;
+/// Live members of a zone, this instance included, in rendezvous order over the zone. The first two
+/// represent the zone.
+auto ranked_members(const membership_state& state, std::string_view zone)
+    -> std::vector<std::string>;
+
+/// The member that collects the load of another, given the zone's ranked members. Empty for the
+/// representatives and for ids that are not ranked.
+auto collector_of(const std::vector<std::string>& ranked, std::string_view id) -> std::string;
 
 /// Adds sums; the time of the result is the older one.
 auto add_sums(load_sums& into, const load_sums& more) -> void;
--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+constexpr std::size_t representatives_per_zone = 2;
+// in larger zones other members collect the loads, because the representatives also carry the
+// traffic between zones
+constexpr std::size_t largest_flat_zone = 8;
+constexpr std::size_t collectors_per_zone = 4;
+
 auto is_fresh(const membership_state& state, const load_sums& sums, time_point now) -> bool
 {
     return !sums.models.empty() && sums.measured + state.settings.load_limit >= now;
@@ -21,13 +27,41 @@
     return std::find(chosen.begin(), chosen.end(), state.self.identity.id) != chosen.end();
 }
 
-auto collector_of(const std::vector<std::string>& zone_representatives, const std::string& id)
-    -> std::string
+auto ranked_members(const membership_state& state, std::string_view zone)
+    -> std::vector<std::string>
+{
+    const auto seed = hash64(zone);
+    auto ranked = std::vector<std::pair<std::uint64_t, std::string_view>>{};
+    const auto consider = [&](const member_record& record) {
+        if (record.zone == zone && record.state == member_state::alive) {
+            ranked.emplace_back(hash64(record.identity.id, seed), record.identity.id);
+        }
+    };
+    consider(state.self);
+    for (const auto& [id, entry] : state.members) {
+        consider(entry.record);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>{});
+    auto ids = std::vector<std::string>{};
+    for (const auto& [rank, id] : ranked) {
+        ids.emplace_back(id);
+    }
+    return ids;
+}
+
+auto collector_of(const std::vector<std::string>& ranked, std::string_view id) -> std::string
 {
-    if (zone_representatives.empty()) {
+    const auto found = std::find(ranked.begin(), ranked.end(), id);
+    const auto rank = static_cast<std::size_t>(found - ranked.begin());
+    if (found == ranked.end() || rank < representatives_per_zone) {
         return {};
     }
-    return zone_representatives[hash64(id) % zone_representatives.size()];
+    const auto direct =
+        ranked.size() <= largest_flat_zone || rank < representatives_per_zone + collectors_per_zone;
+    if (direct) {
+        return ranked[rank % representatives_per_zone];
+    }
+    return ranked[representatives_per_zone + rank % collectors_per_zone];
 }
 
 auto add_sums(load_sums& into, const load_sums& more) -> void
@@ -56,17 +90,15 @@
 
 auto collected_load(const membership_state& state, time_point now) -> load_sums
 {
-    const auto chosen = representatives(state, state.self.zone);
-    const auto& self = state.self.identity.id;
+    const auto ranked = ranked_members(state, state.self.zone);
     auto sums = state.own_load;
     // the own load is current as long as the process reports it
     sums.measured = now;
-    for (const auto& [id, entry] : state.members) {
-        const auto represents = std::find(chosen.begin(), chosen.end(), id) != chosen.end();
-        if (entry.record.zone == state.self.zone && !represents &&
-            entry.record.state != member_state::dead && collector_of(chosen, id) == self &&
-            is_fresh(state, entry.load, now)) {
-            add_sums(sums, entry.load);
+    for (const auto& id : ranked) {
+        const auto found = state.members.find(id);
+        if (found != state.members.end() && is_fresh(state, found->second.load, now) &&
+            collector_of(ranked, id) == state.self.identity.id) {
+            add_sums(sums, found->second.load);
         }
     }
     return sums;
@@ -138,26 +170,9 @@
 auto representatives(const membership_state& state, std::string_view zone)
     -> std::vector<std::string>
 {
-    constexpr std::size_t per_zone = 2;
-    const auto seed = hash64(zone);
-    auto ranked = std::vector<std::pair<std::uint64_t, std::string_view>>{};
-    const auto consider = [&](const member_record& record) {
-        if (record.zone == zone && record.state == member_state::alive) {
-            ranked.emplace_back(hash64(record.identity.id, seed), record.identity.id);
-        }
-    };
-    consider(state.self);
-    for (const auto& [id, entry] : state.members) {
-        consider(entry.record);
-    }
-    const auto count = std::min(per_zone, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                      ranked.end(), std::greater<>{});
-    auto ids = std::vector<std::string>{};
-    for (std::size_t index = 0; index < count; ++index) {
-        ids.emplace_back(ranked[index].second);
-    }
-    return ids;
+    auto ranked = detail::ranked_members(state, zone);
+    ranked.resize(std::min(ranked.size(), detail::representatives_per_zone));
+    return ranked;
 }
 
 auto make_catalogue(const std::vector<std::string>& names) -> model_catalogue
