--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -65,6 +65,17 @@
     time_point measured{};
 };
 
+/// The models of the operator text, which both ends of a message know. Loads of a catalogue's
+/// models travel by position instead of by key.
+struct model_catalogue {
+    /// Sorted keys.
+    std::vector<std::uint32_t> models;
+    std::uint32_t digest = 0;
+};
+
+/// Makes a catalogue from model names.
+auto make_catalogue(const std::vector<std::string>& names) -> model_catalogue;
+
 /// Timing and limits of failure detection and dissemination.
 struct membership_settings {
     duration probe_period = std::chrono::seconds{1};
@@ -182,6 +193,8 @@
     bool listed = false;
     time_point changed{};
     time_point dead_at{};
+    /// This instance raised the current suspicion itself and tells the member until it ends.
+    bool own_suspicion = false;
     /// Times of recent transitions, newest last, for flap damping.
     std::deque<time_point> transitions;
     time_point announced{};
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -34,6 +34,16 @@
     return message;
 }
 
+/// Whether this instance and the given one represent the own zone.
+auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool
+{
+    const auto chosen = representatives(state, state.self.zone);
+    const auto has = [&](const std::string& member) {
+        return std::find(chosen.begin(), chosen.end(), member) != chosen.end();
+    };
+    return has(state.self.identity.id) && has(id);
+}
+
 auto add_loads(membership_state& state, gossip_message& message, const member_record& to,
                time_point now) -> void
 {
@@ -43,19 +53,13 @@
         }
         return;
     }
-    const auto chosen = representatives(state, state.self.zone);
-    const auto represents = [&](const std::string& id) {
-        return std::find(chosen.begin(), chosen.end(), id) != chosen.end();
-    };
-    if (represents(state.self.identity.id)) {
-        if (represents(to.identity.id)) {
-            message.load = detail::collected_load(state, now);
-        }
+    if (is_fellow_representative(state, to.identity.id)) {
+        message.load = detail::collected_load(state, now);
         return;
     }
-    if (detail::collector_of(chosen, state.self.identity.id) == to.identity.id) {
-        message.load = state.own_load;
-        message.load->measured = now;
+    const auto ranked = detail::ranked_members(state, state.self.zone);
+    if (detail::collector_of(ranked, state.self.identity.id) == to.identity.id) {
+        message.load = detail::collected_load(state, now);
         message.load_wanted = true;
     }
 }
@@ -129,6 +133,24 @@
     auto record = found->second.record;
     record.state = member_state::suspect;
     detail::merge_record(state, std::move(record), now, step);
+    found->second.own_suspicion = true;
+    send_probe(state, id, now, step);
+}
+
+/// Tells the members that this instance suspects. Without this, 5% loss let a suspicion overtake
+/// its refutation between zones, and members died falsely.
+auto tell_suspects(membership_state& state, time_point now, membership_step& step) -> void
+{
+    auto suspects = std::vector<std::string>{};
+    for (auto& [id, entry] : state.members) {
+        entry.own_suspicion = entry.own_suspicion && entry.record.state == member_state::suspect;
+        if (entry.own_suspicion) {
+            suspects.push_back(id);
+        }
+    }
+    for (const auto& id : suspects) {
+        send_probe(state, id, now, step);
+    }
 }
 
 auto check_probes(membership_state& state, time_point now, std::mt19937_64& random,
@@ -155,9 +177,9 @@
     }
     for (const auto& id : failed) {
         const auto* record = detail::record_of(state, id);
-        if (record != nullptr && record->state != member_state::dead) {
-            state.health = std::min(state.health + 1, state.settings.max_health);
+        if (record != nullptr && record->state < member_state::suspect) {
             suspect(state, id, now, step);
+            state.health = std::min(state.health + 1, state.settings.max_health);
         }
     }
 }
@@ -205,13 +227,12 @@
 {
     auto targets = std::set<std::string>{};
     targets.insert(next_in_order(state.probe_order, detail::zone_peers(state), random));
-    const auto chosen = representatives(state, state.self.zone);
     const auto& self = state.self.identity.id;
-    if (std::find(chosen.begin(), chosen.end(), self) != chosen.end()) {
-        targets.insert(chosen.begin(), chosen.end());
-    }
-    else {
-        targets.insert(detail::collector_of(chosen, self));
+    const auto ranked = detail::ranked_members(state, state.self.zone);
+    targets.insert(detail::collector_of(ranked, self));
+    // one of the two representatives asks, the other's load comes with the acknowledgement
+    if (ranked.size() > 1 && ranked[0] == self) {
+        targets.insert(ranked[1]);
     }
     targets.erase("");
     targets.erase(self);
@@ -222,7 +243,9 @@
                  membership_step& step) -> void
 {
     const auto zones = detail::other_zones(state);
-    const auto count = std::min<std::size_t>(state.settings.zones_per_period, zones.size());
+    // the two representatives together reach every zone once a period when there are few
+    const auto count =
+        std::min<std::size_t>(state.settings.zones_per_period, (zones.size() + 1) / 2);
     for (std::size_t index = 0; index < count; ++index) {
         const auto zone = next_in_order(state.zone_order, zones, random);
         const auto chosen = representatives(state, zone);
@@ -253,6 +276,7 @@
                 membership_step& step) -> void
 {
     detail::announce_held(state, now);
+    tell_suspects(state, now, step);
     for (const auto& id : zone_targets(state, random)) {
         send_probe(state, id, now, step);
     }
@@ -325,6 +349,9 @@
     }
     auto ack = basic_gossip(state, gossip_kind::probe_ack, *from);
     ack.seq = incoming.message.seq;
+    if (is_fellow_representative(state, incoming.from.id)) {
+        ack.load = detail::collected_load(state, now);
+    }
     if (incoming.message.load_wanted) {
         ack.fleet_load = detail::known_fleet_load(state, now);
     }
