--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -1,6 +1,5 @@
 // Measures of the policy modules, one JSON line each.
 #include <algorithm>
-#include <cmath>
 #include <ctime>
 #include <deque>
 #include <functional>
@@ -297,7 +296,6 @@
     std::vector<crash_target> targets = std::vector<crash_target>(crash_targets);
     std::uint64_t next_innocent = first_innocent;
     std::size_t killed = 0;
-    std::size_t retried = 0;
     std::size_t stopped = 0;
     std::size_t waiting = 0;
 };
@@ -368,7 +366,6 @@
 {
     for (const auto fingerprint : fingerprints) {
         const auto own = standing_under(run, router, fingerprint, now);
-        ++run.retried;
         if (own == suspicion::stopped) {
             ++run.stopped;
             continue;
@@ -443,8 +440,6 @@
         const auto policy = std::string(row.name);
         report({"targets_killed", "crashing_request", policy, seed, static_cast<double>(run.killed),
                 "targets"});
-        report({"innocent_retries", "crashing_request", policy, seed,
-                static_cast<double>(run.retried), "requests"});
         report({"innocent_stopped", "crashing_request", policy, seed,
                 static_cast<double>(run.stopped), "requests"});
         report({"innocent_waits_for_isolation", "crashing_request", policy, seed,
--- a/include/cyclamenpost/idempotency.hpp
+++ b/include/cyclamenpost/idempotency.hpp
@@ -90,7 +90,7 @@
     /// Largest body kept in one record, in bytes.
     std::size_t body_bytes = 16'384;
     /// Bytes of all kept bodies together; beyond it only the status is kept.
-    std::size_t total_body_bytes = 48U << 20U;
+    std::size_t total_body_bytes = 24U << 20U;
 };
 
 /// Records of one instance incarnation. Time is the wall clock at start plus monotonic time since,
