Let a takeover wait for a report that shows the former holder's requests

Change: permits after a takeover need a report later than the wait plus the report lag; a backup takes its half only after a lease of its own list version from a primary that has heard every listed former holder.

--- a/include/cyclamenpost/gate.hpp
+++ b/include/cyclamenpost/gate.hpp
@@ -168,6 +168,9 @@
     std::optional<time_point> last_report;
     /// Reports that arrive before this time may have been buffered during a pause.
     time_point report_after;
+    /// After a takeover there are permits only after a load report that arrived later than this and
+    /// so shows all requests of former holders.
+    time_point takeover_report_after;
     /// A cold target gets work only after a load report that arrived later than this.
     time_point cold_report_after;
     time_point last_grant;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -31,19 +31,24 @@
     return state.backup.empty() || (!state.lease_void && now < state.lease_until);
 }
 
+/// Whether a load report shows all requests that former holders could start.
+auto former_load_shown(const gate& state) -> bool
+{
+    const auto silent_from = state.last_acknowledged + takeover_wait(state.limits);
+    const auto needed = state.role == gate_role::primary ? state.takeover_report_after
+                                                         : silent_from + state.limits.report_lag;
+    return state.last_report && *state.last_report >= needed;
+}
+
 auto holds_full(const gate& state, time_point now) -> bool
 {
     return state.role == gate_role::primary && holds_lease(state, now) &&
-           takeover_complete(state, now);
+           takeover_complete(state, now) && former_load_shown(state);
 }
 
 auto holds_half(const gate& state, time_point now) -> bool
 {
-    if (state.role == gate_role::primary) {
-        return now >= state.half_from;
-    }
-    const auto silent = now - state.last_acknowledged >= takeover_wait(state.limits);
-    return state.role == gate_role::backup && silent && now >= state.half_from;
+    return state.role != gate_role::none && now >= state.half_from && former_load_shown(state);
 }
 
 /// After a pause the lease may have ended, and the target may have started anew while its last
--- a/src/gate_lease.cpp
+++ b/src/gate_lease.cpp
@@ -35,8 +35,7 @@
     state.half_from = pair_broken ? begin : state.former_end;
     state.full_from = state.half_from;
     state.cold_from = state.half_from;
-    state.cold_report_after =
-        std::max(state.cold_report_after, state.cold_from + state.limits.report_lag);
+    state.takeover_report_after = state.half_from + state.limits.report_lag;
 }
 
 /// A former holder confirmed the current list and gives no more permits.
@@ -53,7 +52,7 @@
         state.half_from = std::min(state.half_from, ready);
         state.full_from = std::min(state.full_from, ready);
         state.cold_from = std::min(state.cold_from, ready);
-        state.cold_report_after = state.cold_from + state.limits.report_lag;
+        state.takeover_report_after = state.half_from + state.limits.report_lag;
     }
     if (!was_quiet && state.words_needed == 0) {
         state.full_from = std::max(state.full_from, now + settle_time(state.limits));
@@ -125,9 +124,11 @@
         state.leases.erase(state.leases.begin());
     }
     const auto term = state.next_term++;
+    const auto all_heard =
+        std::ranges::none_of(state.former, [](const auto& holder) { return holder.listed; });
     state.leases.push_back({term, now});
     return lease_message{term, state.list_version, state.target_incarnation.value_or(0),
-                         state.state, takeover_complete(state, now)};
+                         state.state, all_heard && takeover_complete(state, now)};
 }
 
 auto on_lease_request(gate& state, std::string_view from, const lease_message& lease,
@@ -140,7 +141,7 @@
     }
     answer.acknowledged = true;
     state.last_acknowledged = now;
-    if (lease.takeover_done) {
+    if (lease.takeover_done && lease.list_version >= state.list_version) {
         state.half_from = std::min(state.half_from, now);
     }
     if (lease.state == target_state::warm && state.target_incarnation == lease.target_incarnation) {
@@ -239,6 +240,7 @@
     state.half_from = now;
     state.full_from = now;
     state.cold_from = now;
+    state.takeover_report_after = time_point{};
     state.cold_report_after = time_point{};
     state.foreign_cost = handed.outstanding_cost;
     state.foreign_requests = handed.outstanding_requests;
