--- a/include/cyclamenpost/placement.hpp
+++ b/include/cyclamenpost/placement.hpp
@@ -56,7 +56,9 @@
     std::string zone;
     target_state state = target_state::warm;
     double load = 0;
-    /// Highest load the engine may carry while it warms up; not used for a warm engine.
+    /// Requests in progress, and how many the engine may carry while it warms up. Not used for a
+    /// warm engine.
+    double requests = 0;
     double allowance = 0;
     /// Whether the engine reported the chat's prefix within the cache hint's age.
     bool cache_hint = false;
@@ -100,9 +102,10 @@
 /// Mean load over the engines, including a new request of the given cost.
 auto mean_load(std::span<const engine_view> engines, double cost) -> double;
 
-/// Highest load of a warm engine after it takes a request of this cost. An idle engine accepts one
-/// request of any cost. Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam
-/// 2018).
+/// Highest load of a warm engine after it takes a request of this cost: the multiple of the mean.
+/// An engine at or below the mean always accepts one request, because otherwise a fleet with few
+/// large requests could never take more than one on each engine. Consistent hashing with bounded
+/// loads (Mirrokni, Thorup, Zadimoghaddam 2018).
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double;
 
 /// Whether the engine may take a request of this cost under the load bound and its allowance.
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -456,9 +456,9 @@
 
 auto gate_bound(const gate& state, double cost, time_point now) -> double
 {
-    const auto bound = std::ceil(state.limits.multiple * usable_mean(state, now));
+    const auto mean = usable_mean(state, now);
     const auto share = cost > state.limits.large_cost ? 0.5 : 1.0;
-    return std::max(cost, bound * share);
+    return std::max(std::ceil(state.limits.multiple * mean) * share, mean * share + cost);
 }
 
 } // namespace cyclamenpost
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -202,7 +202,8 @@
 
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double
 {
-    return std::max(cost, std::ceil(limits.multiple * mean) * usable_share(cost, limits));
+    const auto share = usable_share(cost, limits);
+    return std::max(std::ceil(limits.multiple * mean) * share, mean * share + cost);
 }
 
 auto under_bound(const engine_view& engine, double cost, double mean,
@@ -211,7 +212,7 @@
     if (!serves(engine) || engine.load + cost > load_bound(mean, cost, limits)) {
         return false;
     }
-    return engine.state == target_state::warm || engine.load + cost <= engine.allowance;
+    return engine.state == target_state::warm || engine.requests + 1 <= engine.allowance;
 }
 
 auto preference_order(std::string_view chat, std::span<const engine_view> engines)
@@ -289,7 +290,7 @@
                               const placement_limits& limits) -> placement_decision
 {
     const auto order = serving_order(request.chat, engines);
-    const auto bound = std::max(request.cost, std::ceil(limits.multiple * mean));
+    const auto bound = std::max(mean + request.cost, std::ceil(limits.multiple * mean));
     const auto found = first_of(
         order, [&](std::size_t index) { return engines[index].load + request.cost <= bound; });
     return baseline(found ? found : least_of(order, engines));
