--- a/include/cyclamenpost/gate.hpp
+++ b/include/cyclamenpost/gate.hpp
@@ -52,7 +52,7 @@
     double multiple = 1.25;
     /// Requests a cold target may carry at once.
     double cold_limit = 1;
-    /// A request above this cost uses only half of the bound.
+    /// Requests above this cost together use only half of the bound.
     double large_cost = 16;
     /// Share of the bound that a target still warm receives when its zone returns.
     double return_share = 0.25;
@@ -160,6 +160,8 @@
     std::unordered_map<std::uint64_t, permit> permits;
     std::vector<ended_permit> ended;
     double outstanding_cost = 0;
+    /// Part of the outstanding cost that large requests make up.
+    double large_cost = 0;
     /// Load at the target that this gate gave no permit for, in cost units and in requests.
     double foreign_cost = 0;
     double foreign_requests = 0;
--- a/include/cyclamenpost/placement.hpp
+++ b/include/cyclamenpost/placement.hpp
@@ -60,6 +60,8 @@
     /// warm engine.
     double requests = 0;
     double allowance = 0;
+    /// Part of the load that large requests make up.
+    double large_load = 0;
     /// Whether the engine reported the chat's prefix within the cache hint's age.
     bool cache_hint = false;
     /// Whether the operator has taken the engine's zone out.
@@ -70,7 +72,7 @@
 struct placement_limits {
     /// Multiple of the mean load that no engine exceeds.
     double multiple = 1.25;
-    /// A request above this cost uses only half of an engine's bound.
+    /// Requests above this cost together use only half of an engine's bound.
     double large_cost = 16;
     /// A cache hint counts only for engines this early in the preference order.
     std::size_t hint_depth = 8;
@@ -108,6 +110,12 @@
 /// loads (Mirrokni, Thorup, Zadimoghaddam 2018).
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double;
 
+/// Whether large requests may take this much more of an engine. Without a bound of their own, long
+/// summaries fill every engine and small checks wait for them; a bound on the whole load instead
+/// would refuse large requests whenever the fleet is busy.
+auto large_fits(double large_load, double cost, double bound, const placement_limits& limits)
+    -> bool;
+
 /// Whether the engine may take a request of this cost under the load bound and its allowance.
 auto under_bound(const engine_view& engine, double cost, double mean,
                  const placement_limits& limits) -> bool;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -70,16 +70,23 @@
     state.last_tick = now;
 }
 
+auto large_part(const gate& state, double cost) -> double
+{
+    return cost > state.limits.large_cost ? cost : 0;
+}
+
 auto drop_permits(gate& state) -> void
 {
     state.permits.clear();
     state.outstanding_cost = 0;
+    state.large_cost = 0;
 }
 
 auto erase_permit(gate& state, std::uint64_t request_id) -> void
 {
     const auto held = state.permits.find(request_id);
     state.outstanding_cost -= held->second.cost;
+    state.large_cost -= large_part(state, held->second.cost);
     state.permits.erase(held);
 }
 
@@ -189,6 +196,10 @@
         return refusal_reason::load_bound;
     }
     const auto half = std::floor(bound / 2);
+    const auto large = large_part(state, cost);
+    if (large > 0 && state.large_cost > 0 && state.large_cost + large > half) {
+        return refusal_reason::load_bound;
+    }
     const auto fits = full || state.outstanding_cost + cost <= half;
     return fits ? refusal_reason::none : refusal_reason::gate_in_doubt;
 }
@@ -327,6 +338,7 @@
     granted.granted = now;
     state.permits.emplace(request.request_id, std::move(granted));
     state.outstanding_cost += request.cost;
+    state.large_cost += large_part(state, request.cost);
     state.last_grant = now;
     return {true, refusal_reason::none, *state.target_incarnation, {}};
 }
@@ -457,8 +469,7 @@
 auto gate_bound(const gate& state, double cost, time_point now) -> double
 {
     const auto mean = usable_mean(state, now);
-    const auto share = cost > state.limits.large_cost ? 0.5 : 1.0;
-    return std::max(std::ceil(state.limits.multiple * mean) * share, mean * share + cost);
+    return std::max(std::ceil(state.limits.multiple * mean), mean + cost);
 }
 
 } // namespace cyclamenpost
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -20,18 +20,11 @@
     return up && !engine.zone_out;
 }
 
-/// Share of the bound that a request of this cost may fill.
-auto usable_share(double cost, const placement_limits& limits) -> double
-{
-    return cost > limits.large_cost ? 0.5 : 1.0;
-}
-
 auto under_soft(const engine_view& engine, double cost, double mean, const placement_limits& limits)
     -> bool
 {
     const auto soft = 1 + (limits.multiple - 1) / 2;
-    return engine.load + cost <= soft * mean * usable_share(cost, limits) &&
-           under_bound(engine, cost, mean, limits);
+    return engine.load + cost <= soft * mean && under_bound(engine, cost, mean, limits);
 }
 
 auto serving_order(std::string_view chat, engine_list engines) -> std::vector<std::size_t>
@@ -202,14 +195,21 @@
 
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double
 {
-    const auto share = usable_share(cost, limits);
-    return std::max(std::ceil(limits.multiple * mean) * share, mean * share + cost);
+    return std::max(std::ceil(limits.multiple * mean), mean + cost);
+}
+
+auto large_fits(double large_load, double cost, double bound, const placement_limits& limits)
+    -> bool
+{
+    return cost <= limits.large_cost || large_load == 0 || large_load + cost <= bound / 2;
 }
 
 auto under_bound(const engine_view& engine, double cost, double mean,
                  const placement_limits& limits) -> bool
 {
-    if (!serves(engine) || engine.load + cost > load_bound(mean, cost, limits)) {
+    const auto bound = load_bound(mean, cost, limits);
+    if (!serves(engine) || engine.load + cost > bound ||
+        !large_fits(engine.large_load, cost, bound, limits)) {
         return false;
     }
     return engine.state == target_state::warm || engine.requests + 1 <= engine.allowance;
