Queue returning chats briefly at their last target

Change: a returning chat asks its last target's gate whatever the lagged load says and queues there for at most the prefill it saves, 1 s at most.

--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -536,10 +536,14 @@
             std::ranges::find_if(order, [&](std::size_t index) { return serving(index); });
         const auto router = gates_[*first];
         request.last_target = tables_[router].last_target(request.chat);
+        const auto hold = hold_time(static_cast<std::uint64_t>(trace_[number].context),
+                                    prefill_seconds_per_token, limits_);
+        request.may_hold = now_ + retry_seconds - trace_[number].at <= hold;
         auto views = seen_by(router);
         add_gate_knowledge(router, trace_[number], views);
         for (auto attempt = 0; attempt < attempts_per_try; ++attempt) {
-            const auto chosen = choose_with_cost(number, request, views);
+            const auto decision = choose_with_cost(number, request, views);
+            const auto chosen = decision.engine;
             if (!chosen) {
                 break;
             }
@@ -549,6 +553,9 @@
                 start(number, *chosen);
                 return;
             }
+            if (request.may_hold && views[*chosen].id == request.last_target) {
+                break;
+            }
             views[*chosen].load = std::numeric_limits<double>::infinity();
         }
         wait_or_refuse(number);
@@ -571,19 +578,20 @@
     }
 
     auto choose_with_cost(std::size_t number, placement_request& request,
-                          const std::vector<engine_view>& views) const -> std::optional<std::size_t>
+                          const std::vector<engine_view>& views) const -> placement_decision
     {
         const auto mean = lagged_mean();
         for (const auto reused : {trace_[number].context, 0.0}) {
             request.cost = cost_with(trace_[number], reused);
             const auto decision = choose_engine(request, views, mean, limits_);
             const auto by_cache = decision.reason == placement_reason::last_target ||
+                                  decision.reason == placement_reason::hold_for_last_target ||
                                   decision.reason == placement_reason::cache_hint;
             if (by_cache || reused == 0) {
-                return decision.engine;
+                return decision;
             }
         }
-        return std::nullopt;
+        return {};
     }
 
     auto lagged_mean() const -> double
@@ -667,6 +675,9 @@
     auto reference = fleet_run{trace, placement_policy::cyclamenpost, true, instances, seed}.run();
     print("cache_reuse_full_knowledge", label, "full_knowledge", seed, reuse_of(reference),
           "share");
+    print("load_skew", label, "full_knowledge", seed, reference.worst_skew, "ratio");
+    print("refused", label, "full_knowledge", seed, reference.refused / reference.requests,
+          "share");
     for (const auto& row : placement_policy_names) {
         auto result = fleet_run{trace, row.value, false, instances, seed}.run();
         print("cache_reuse", label, row.name, seed, reuse_of(result) / reuse_of(reference),
--- a/include/cyclamenpost/placement.hpp
+++ b/include/cyclamenpost/placement.hpp
@@ -30,6 +30,7 @@
 /// Why an engine was chosen, or why none was.
 enum class placement_reason {
     last_target,
+    hold_for_last_target,
     cache_hint,
     first_under_soft,
     least_of_three,
@@ -41,6 +42,7 @@
 
 inline constexpr std::array placement_reason_names{
     enum_name<placement_reason>{placement_reason::last_target, "last_target"},
+    enum_name<placement_reason>{placement_reason::hold_for_last_target, "hold_for_last_target"},
     enum_name<placement_reason>{placement_reason::cache_hint, "cache_hint"},
     enum_name<placement_reason>{placement_reason::first_under_soft, "first_under_soft"},
     enum_name<placement_reason>{placement_reason::least_of_three, "least_of_three"},
@@ -78,6 +80,8 @@
     std::size_t hint_depth = 8;
     /// Number of first engines of which the least loaded is taken above the soft limit.
     std::size_t spread = 3;
+    /// Longest time a request queues for its last target, in seconds.
+    double hold_seconds = 1;
 };
 
 /// A request to place.
@@ -86,12 +90,15 @@
     double cost = 1;
     /// Id of the engine that last served the chat; empty when unknown.
     std::string_view last_target;
+    /// Whether the request may still queue at its last target's gate (see `hold_time`).
+    bool may_hold = false;
     placement_policy policy = placement_policy::cyclamenpost;
     /// Random number for the baseline `random`.
     std::uint64_t random = 0;
 };
 
-/// The chosen engine as an index into the views, and the reason.
+/// The chosen engine as an index into the views, and the reason. With `hold_for_last_target` the
+/// request asks that engine's gate and queues there when it is refused.
 struct placement_decision {
     std::optional<std::size_t> engine;
     placement_reason reason = placement_reason::no_engine;
@@ -145,6 +152,11 @@
                               std::span<const engine_view> engines, double mean,
                               const placement_limits& limits) -> placement_decision;
 
+/// Time in seconds for which a returning chat queues at its last target rather than go to another
+/// engine: no longer than the prefill that the cached tokens save.
+auto hold_time(std::uint64_t cached_prompt_tokens, double prefill_seconds_per_token,
+               const placement_limits& limits) -> double;
+
 /// Whether exporting the cache of `prompt_tokens` to another engine is faster than a new prefill.
 /// Times in seconds.
 auto migration_pays(std::uint64_t prompt_tokens, double prefill_seconds_per_token,
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -71,12 +71,14 @@
     const auto soft = [&](std::size_t index) {
         return under_soft(engines[index], request.cost, mean, limits);
     };
-    const auto last = first_of(order, [&](std::size_t index) {
-        return engines[index].id == request.last_target && hard(index);
-    });
-    if (last) {
+    const auto last = first_of(
+        order, [&](std::size_t index) { return engines[index].id == request.last_target; });
+    if (last && hard(*last)) {
         return {last, placement_reason::last_target};
     }
+    if (last && request.may_hold) {
+        return {last, placement_reason::hold_for_last_target};
+    }
     const auto early = std::span{order}.first(std::min(limits.hint_depth, order.size()));
     const auto hinted = first_of(
         early, [&](std::size_t index) { return engines[index].cache_hint && soft(index); });
@@ -296,6 +298,13 @@
     return baseline(found ? found : least_of(order, engines));
 }
 
+auto hold_time(std::uint64_t cached_prompt_tokens, double prefill_seconds_per_token,
+               const placement_limits& limits) -> double
+{
+    const auto saved = static_cast<double>(cached_prompt_tokens) * prefill_seconds_per_token;
+    return std::min(saved, limits.hold_seconds);
+}
+
 auto migration_pays(std::uint64_t prompt_tokens, double prefill_seconds_per_token,
                     double transfer_seconds) -> bool
 {
