--- a/include/cyclamenpost/placement.hpp
+++ b/include/cyclamenpost/placement.hpp
@@ -30,6 +30,7 @@
 /// Why an engine was chosen, or why none was.
 enum class placement_reason {
     last_target,
+    hold_for_last_target,
     cache_hint,
     first_under_soft,
     least_of_three,
@@ -41,6 +42,7 @@
 
 inline constexpr std::array placement_reason_names{
     enum_name<placement_reason>{placement_reason::last_target, "last_target"},
+    enum_name<placement_reason>{placement_reason::hold_for_last_target, "hold_for_last_target"},
     enum_name<placement_reason>{placement_reason::cache_hint, "cache_hint"},
     enum_name<placement_reason>{placement_reason::first_under_soft, "first_under_soft"},
     enum_name<placement_reason>{placement_reason::least_of_three, "least_of_three"},
@@ -56,8 +58,12 @@
     std::string zone;
     target_state state = target_state::warm;
     double load = 0;
-    /// Highest load the engine may carry while it warms up; not used for a warm engine.
+    /// Requests in progress, and how many the engine may carry while it warms up. Not used for a
+    /// warm engine.
+    double requests = 0;
     double allowance = 0;
+    /// Part of the load that large requests make up.
+    double large_load = 0;
     /// Whether the engine reported the chat's prefix within the cache hint's age.
     bool cache_hint = false;
     /// Whether the operator has taken the engine's zone out.
@@ -68,12 +74,14 @@
 struct placement_limits {
     /// Multiple of the mean load that no engine exceeds.
     double multiple = 1.25;
-    /// A request above this cost uses only half of an engine's bound.
+    /// Requests above this cost together use only half of an engine's bound.
     double large_cost = 16;
     /// A cache hint counts only for engines this early in the preference order.
     std::size_t hint_depth = 8;
     /// Number of first engines of which the least loaded is taken above the soft limit.
     std::size_t spread = 3;
+    /// Longest time a request queues for its last target, in seconds.
+    double hold_seconds = 1;
 };
 
 /// A request to place.
@@ -82,12 +90,15 @@
     double cost = 1;
     /// Id of the engine that last served the chat; empty when unknown.
     std::string_view last_target;
+    /// Whether the request may still queue at its last target's gate (see `hold_time`).
+    bool may_hold = false;
     placement_policy policy = placement_policy::cyclamenpost;
     /// Random number for the baseline `random`.
     std::uint64_t random = 0;
 };
 
-/// The chosen engine as an index into the views, and the reason.
+/// The chosen engine as an index into the views, and the reason. With `hold_for_last_target` the
+/// request asks that engine's gate and queues there when it is refused.
 struct placement_decision {
     std::optional<std::size_t> engine;
     placement_reason reason = placement_reason::no_engine;
@@ -100,11 +111,18 @@
 /// Mean load over the engines, including a new request of the given cost.
 auto mean_load(std::span<const engine_view> engines, double cost) -> double;
 
-/// Highest load of a warm engine after it takes a request of this cost. An idle engine accepts one
-/// request of any cost. Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam
-/// 2018).
+/// Highest load of a warm engine after it takes a request of this cost: the multiple of the mean.
+/// An engine at or below the mean always accepts one request, because otherwise a fleet with few
+/// large requests could never take more than one on each engine. Consistent hashing with bounded
+/// loads (Mirrokni, Thorup, Zadimoghaddam 2018).
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double;
 
+/// Whether large requests may take this much more of an engine. Without a bound of their own, long
+/// summaries fill every engine and small checks wait for them; a bound on the whole load instead
+/// would refuse large requests whenever the fleet is busy.
+auto large_fits(double large_load, double cost, double bound, const placement_limits& limits)
+    -> bool;
+
 /// Whether the engine may take a request of this cost under the load bound and its allowance.
 auto under_bound(const engine_view& engine, double cost, double mean,
                  const placement_limits& limits) -> bool;
@@ -134,6 +152,11 @@
                               std::span<const engine_view> engines, double mean,
                               const placement_limits& limits) -> placement_decision;
 
+/// Time in seconds for which a returning chat queues at its last target rather than go to another
+/// engine: no longer than the prefill that the cached tokens save.
+auto hold_time(std::uint64_t cached_prompt_tokens, double prefill_seconds_per_token,
+               const placement_limits& limits) -> double;
+
 /// Whether exporting the cache of `prompt_tokens` to another engine is faster than a new prefill.
 /// Times in seconds.
 auto migration_pays(std::uint64_t prompt_tokens, double prefill_seconds_per_token,
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -31,19 +31,30 @@
     return state.backup.empty() || (!state.lease_void && now < state.lease_until);
 }
 
+/// Whether a load report shows all requests that former holders could start.
+auto former_load_shown(const gate& state) -> bool
+{
+    const auto silent_from = state.last_acknowledged + takeover_wait(state.limits);
+    const auto needed = state.role == gate_role::primary ? state.takeover_report_after
+                                                         : silent_from + state.limits.report_lag;
+    return state.last_report && *state.last_report >= needed;
+}
+
 auto holds_full(const gate& state, time_point now) -> bool
 {
     return state.role == gate_role::primary && holds_lease(state, now) &&
-           takeover_complete(state, now);
+           takeover_complete(state, now) && former_load_shown(state);
 }
 
 auto holds_half(const gate& state, time_point now) -> bool
 {
-    if (state.role == gate_role::primary) {
-        return now >= state.half_from;
-    }
-    const auto silent = now - state.last_acknowledged >= takeover_wait(state.limits);
-    return state.role == gate_role::backup && silent && now >= state.half_from;
+    return state.role != gate_role::none && now >= state.half_from && former_load_shown(state);
+}
+
+/// Whether requests of another holder may still run that reports cannot tell from this gate's own.
+auto may_share_target(const gate& state, time_point now) -> bool
+{
+    return !holds_full(state, now) || now < state.full_from + takeover_wait(state.limits);
 }
 
 /// After a pause the lease may have ended, and the target may have started anew while its last
@@ -59,16 +70,23 @@
     state.last_tick = now;
 }
 
+auto large_part(const gate& state, double cost) -> double
+{
+    return cost > state.limits.large_cost ? cost : 0;
+}
+
 auto drop_permits(gate& state) -> void
 {
     state.permits.clear();
     state.outstanding_cost = 0;
+    state.large_cost = 0;
 }
 
 auto erase_permit(gate& state, std::uint64_t request_id) -> void
 {
     const auto held = state.permits.find(request_id);
     state.outstanding_cost -= held->second.cost;
+    state.large_cost -= large_part(state, held->second.cost);
     state.permits.erase(held);
 }
 
@@ -178,6 +196,10 @@
         return refusal_reason::load_bound;
     }
     const auto half = std::floor(bound / 2);
+    const auto large = large_part(state, cost);
+    if (large > 0 && state.large_cost > 0 && state.large_cost + large > half) {
+        return refusal_reason::load_bound;
+    }
     const auto fits = full || state.outstanding_cost + cost <= half;
     return fits ? refusal_reason::none : refusal_reason::gate_in_doubt;
 }
@@ -228,7 +250,7 @@
         if (now < state.foreign_until) {
             return std::max(current, lower);
         }
-        return holds_full(state, now) ? std::max(lower, std::min(current, upper)) : upper;
+        return may_share_target(state, now) ? upper : std::max(lower, std::min(current, upper));
     };
     state.foreign_cost = limit(state.foreign_cost, report.cost, settled_cost, possible_cost);
     state.foreign_requests =
@@ -237,7 +259,8 @@
 
 /// Reclaims permits whose release was lost. A settled permit that still runs is in the report, so
 /// there are at most as many of them as reported requests. Permits of dead holders go first, then
-/// the cheapest, so that the load is never counted too low.
+/// the cheapest, so that the load is never counted too low. What is reclaimed counts as foreign
+/// load until the report shows otherwise, because it may have hidden requests of another holder.
 auto reclaim_permits(gate& state, const load_report& report, time_point now) -> void
 {
     auto settled = std::vector<std::uint64_t>{};
@@ -260,6 +283,8 @@
     });
     settled.resize(settled.size() - running);
     for (const auto id : settled) {
+        state.foreign_cost += state.permits.at(id).cost;
+        state.foreign_requests += 1;
         erase_permit(state, id);
     }
 }
@@ -313,6 +338,7 @@
     granted.granted = now;
     state.permits.emplace(request.request_id, std::move(granted));
     state.outstanding_cost += request.cost;
+    state.large_cost += large_part(state, request.cost);
     state.last_grant = now;
     return {true, refusal_reason::none, *state.target_incarnation, {}};
 }
@@ -336,6 +362,11 @@
         return;
     }
     state.ended.push_back({held->second.cost, now});
+    if (may_share_target(state, now) && now - held->second.granted >= settle_time(state.limits)) {
+        // a late release: the permit may have hidden a request of another holder in the last report
+        state.foreign_cost += held->second.cost;
+        state.foreign_requests += 1;
+    }
     erase_permit(state, request_id);
     if (!is_cold(state) || end == permit_end::unused) {
         return;
@@ -437,9 +468,8 @@
 
 auto gate_bound(const gate& state, double cost, time_point now) -> double
 {
-    const auto bound = std::ceil(state.limits.multiple * usable_mean(state, now));
-    const auto share = cost > state.limits.large_cost ? 0.5 : 1.0;
-    return std::max(cost, bound * share);
+    const auto mean = usable_mean(state, now);
+    return std::max(std::ceil(state.limits.multiple * mean), mean + cost);
 }
 
 } // namespace cyclamenpost
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -20,18 +20,11 @@
     return up && !engine.zone_out;
 }
 
-/// Share of the bound that a request of this cost may fill.
-auto usable_share(double cost, const placement_limits& limits) -> double
-{
-    return cost > limits.large_cost ? 0.5 : 1.0;
-}
-
 auto under_soft(const engine_view& engine, double cost, double mean, const placement_limits& limits)
     -> bool
 {
     const auto soft = 1 + (limits.multiple - 1) / 2;
-    return engine.load + cost <= soft * mean * usable_share(cost, limits) &&
-           under_bound(engine, cost, mean, limits);
+    return engine.load + cost <= soft * mean && under_bound(engine, cost, mean, limits);
 }
 
 auto serving_order(std::string_view chat, engine_list engines) -> std::vector<std::size_t>
@@ -78,12 +71,14 @@
     const auto soft = [&](std::size_t index) {
         return under_soft(engines[index], request.cost, mean, limits);
     };
-    const auto last = first_of(order, [&](std::size_t index) {
-        return engines[index].id == request.last_target && hard(index);
-    });
-    if (last) {
+    const auto last = first_of(
+        order, [&](std::size_t index) { return engines[index].id == request.last_target; });
+    if (last && hard(*last)) {
         return {last, placement_reason::last_target};
     }
+    if (last && request.may_hold) {
+        return {last, placement_reason::hold_for_last_target};
+    }
     const auto early = std::span{order}.first(std::min(limits.hint_depth, order.size()));
     const auto hinted = first_of(
         early, [&](std::size_t index) { return engines[index].cache_hint && soft(index); });
@@ -202,16 +197,24 @@
 
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double
 {
-    return std::max(cost, std::ceil(limits.multiple * mean) * usable_share(cost, limits));
+    return std::max(std::ceil(limits.multiple * mean), mean + cost);
+}
+
+auto large_fits(double large_load, double cost, double bound, const placement_limits& limits)
+    -> bool
+{
+    return cost <= limits.large_cost || large_load == 0 || large_load + cost <= bound / 2;
 }
 
 auto under_bound(const engine_view& engine, double cost, double mean,
                  const placement_limits& limits) -> bool
 {
-    if (!serves(engine) || engine.load + cost > load_bound(mean, cost, limits)) {
+    const auto bound = load_bound(mean, cost, limits);
+    if (!serves(engine) || engine.load + cost > bound ||
+        !large_fits(engine.large_load, cost, bound, limits)) {
         return false;
     }
-    return engine.state == target_state::warm || engine.load + cost <= engine.allowance;
+    return engine.state == target_state::warm || engine.requests + 1 <= engine.allowance;
 }
 
 auto preference_order(std::string_view chat, std::span<const engine_view> engines)
@@ -289,12 +292,19 @@
                               const placement_limits& limits) -> placement_decision
 {
     const auto order = serving_order(request.chat, engines);
-    const auto bound = std::max(request.cost, std::ceil(limits.multiple * mean));
+    const auto bound = std::max(mean + request.cost, std::ceil(limits.multiple * mean));
     const auto found = first_of(
         order, [&](std::size_t index) { return engines[index].load + request.cost <= bound; });
     return baseline(found ? found : least_of(order, engines));
 }
 
+auto hold_time(std::uint64_t cached_prompt_tokens, double prefill_seconds_per_token,
+               const placement_limits& limits) -> double
+{
+    const auto saved = static_cast<double>(cached_prompt_tokens) * prefill_seconds_per_token;
+    return std::min(saved, limits.hold_seconds);
+}
+
 auto migration_pays(std::uint64_t prompt_tokens, double prefill_seconds_per_token,
                     double transfer_seconds) -> bool
 {
