--- a/fakes/lib/caller.cpp
+++ b/fakes/lib/caller.cpp
@@ -171,6 +171,13 @@
     });
 }
 
+/// The incarnation in "<instance>.<incarnation>.<issue ms>"; it is the answering instance's own.
+auto key_incarnation(const std::string& key) -> std::string
+{
+    const auto start = key.find('.') + 1;
+    return start == 0 ? "" : key.substr(start, key.find('.', start) - start);
+}
+
 auto read_lookup(state_reference state, job& work, const client_response& response) -> bool
 {
     const auto answer = json::parse(response.body, nullptr, false);
@@ -192,6 +199,7 @@
     auto event = history_event{};
     event.event = "lookup";
     event.instance = work.entry.instance;
+    event.incarnation = key_incarnation(work.where.key_prefix);
     event.config_version = version;
     event.detail = state.options.name;
     state.history.write(std::move(event));
--- a/fakes/lib/fake_engine.cpp
+++ b/fakes/lib/fake_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <random>
 
@@ -363,7 +364,7 @@
 
 auto cost_of(const engine_run& run, std::string_view header) -> std::int64_t
 {
-    const auto given = number(header);
+    const auto given = std::ceil(std::atof(std::string(header).c_str()));
     if (given > 0) {
         return static_cast<std::int64_t>(given);
     }
