--- a/fakes/lib/caller.cpp
+++ b/fakes/lib/caller.cpp
@@ -240,7 +240,7 @@
                    "&model=" + percent_encode(state.options.model);
     request.headers = {{"x-config-version", std::to_string(state.config_version)}};
     const auto call =
-        fetch(*state.loop, request, answer_limit, [&state, work](client_response response) {
+        fetch(*state.loop, request, answer_limit, [&state, work](const client_response& response) {
             work->attempt_timer.reset();
             if (!read_lookup(state, *work, response)) {
                 try_again(state, work, default_retry_wait,
--- a/fakes/lib/chat_content.cpp
+++ b/fakes/lib/chat_content.cpp
@@ -21,7 +21,7 @@
         const auto& content =
             message.is_object() && message.contains("content") ? message["content"] : json{};
         const auto text = content.is_string() ? content.get<std::string>() : content.dump();
-        prefix = hash64(role + "\n" + text, prefix);
+        prefix = hash64(text, hash64(role, prefix));
         chat.prompt_tokens += text.size() / bytes_per_token + 1;
         chat.prefixes.push_back(prefix);
         chat.prefix_tokens.push_back(chat.prompt_tokens);
--- a/fakes/lib/fake_engine.cpp
+++ b/fakes/lib/fake_engine.cpp
@@ -155,9 +155,10 @@
 auto send_event(detail::engine_state& state, const std::string& kind, const std::string& data)
     -> void
 {
+    const auto text = "event: " + kind + "\ndata: " + data + "\n\n";
     std::erase_if(state.listeners, [](const auto& listener) { return !listener->open(); });
     for (const auto& listener : state.listeners) {
-        listener->write("event: " + kind + "\ndata: " + data + "\n\n");
+        listener->write(text);
     }
 }
 
--- a/tests/unit-fakes.cpp
+++ b/tests/unit-fakes.cpp
@@ -58,7 +58,7 @@
         request.body = body;
         request.headers = std::move(headers);
         auto response = std::optional<client_response>{};
-        fetch(loop, request, 1U << 20U, [&](client_response whole) { response = whole; });
+        fetch(loop, request, 1U << 20U, [&](const client_response& whole) { response = whole; });
         REQUIRE(loop.run_until([&] { return response.has_value() || exit_status != 0; }, 10s));
         return response.value_or(client_response{});
     }
