--- a/fakes/lib/history_checks_calls.cpp
+++ b/fakes/lib/history_checks_calls.cpp
@@ -234,10 +234,10 @@
     auto isolated = isolation{};
     for (const auto& event : view.events) {
         isolated.take(event, bounds.config_delay);
-        const auto lookup = event.event == "lookup";
-        if (event.config_version == 0 || (!lookup && event.event != "config_applied")) {
+        if (event.config_version == 0) {
             continue;
         }
+        const auto lookup = event.event == "lookup";
         ++outcome.judged;
         // callers and instances are separate observers of one process
         const auto observer = lookup ? event.detail : std::string{};
