--- a/fakes/lib/fake_engine.cpp
+++ b/fakes/lib/fake_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <random>
 
@@ -154,9 +155,10 @@
 auto send_event(detail::engine_state& state, const std::string& kind, const std::string& data)
     -> void
 {
+    const auto text = "event: " + kind + "\ndata: " + data + "\n\n";
     std::erase_if(state.listeners, [](const auto& listener) { return !listener->open(); });
     for (const auto& listener : state.listeners) {
-        listener->write("event: " + kind + "\ndata: " + data + "\n\n");
+        listener->write(text);
     }
 }
 
@@ -363,7 +365,7 @@
 
 auto cost_of(const engine_run& run, std::string_view header) -> std::int64_t
 {
-    const auto given = number(header);
+    const auto given = std::ceil(std::atof(std::string(header).c_str()));
     if (given > 0) {
         return static_cast<std::int64_t>(given);
     }
