Adapt the request path to holding at the last target and to large-request sums

Cause: placement now lets a returning chat queue briefly at its last target and bounds large requests by their own sum. Change: the relay passes how long a request may hold and how much prompt its last target should have cached.

--- a/include/cyclamenpost/relay.hpp
+++ b/include/cyclamenpost/relay.hpp
@@ -112,6 +112,9 @@
 
     // model requests, relay_model.cpp
     auto read_chat_request(job& work) -> std::optional<problem>;
+    auto engines_for(const job& work) const -> std::vector<engine_view>;
+    auto choose_for(const job& work, const std::vector<engine_view>& views) const
+        -> placement_decision;
     auto place_chat(const job_ptr& work) -> void;
     auto on_permit(const job_ptr& work, permit_answer answer) -> void;
     auto dispatch_chat(const job_ptr& work) -> void;
--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -95,8 +95,10 @@
     }
     const auto mean = context.gates.mean(model, views, 1);
     const auto last = context.requests.last_target(chat);
-    const auto choice =
-        choose_engine({chat, 1, last, placement_policy::cyclamenpost, 0}, views, mean, {});
+    auto placement = placement_request{};
+    placement.chat = chat;
+    placement.last_target = last;
+    const auto choice = choose_engine(placement, views, mean, {});
     return {{"chat", chat},
             {"model", model},
             {"service", service->name},
--- a/src/gate_service.cpp
+++ b/src/gate_service.cpp
@@ -1,7 +1,6 @@
 #include "cyclamenpost/gate_service.hpp"
 
 #include <algorithm>
-#include <limits>
 
 #include "cyclamenpost/log.hpp"
 
@@ -20,8 +19,6 @@
 // a run that failed this long before its target's end was not running then
 constexpr duration failed_run_memory = 2s;
 
-constexpr auto unlimited_cost = std::numeric_limits<double>::infinity();
-
 auto serves(const fleet_target& target, const std::string& service, const std::string& model)
     -> bool
 {
@@ -629,9 +626,9 @@
         if (held != gates_.end() && held->second.role == gate_role::primary) {
             view.state = held->second.state;
             view.load = gate_load(held->second);
-            // the gate counts requests of a cold target, a view counts cost
-            const auto running = static_cast<double>(held->second.permits.size());
-            view.allowance = running < held->second.allowance ? unlimited_cost : 0;
+            view.requests = static_cast<double>(held->second.permits.size());
+            view.allowance = held->second.allowance;
+            view.large_load = held->second.large_cost;
         }
         else if (const auto refused = refused_.find(name);
                  refused != refused_.end() && refused->second.until > now) {
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -208,12 +208,7 @@
                 if (found == jobs_.end() || found->second->kind != service_kind::model) {
                     return true;
                 }
-                const auto& work = *found->second;
-                const auto views = context_.gates.views(work.service, work.model);
-                const auto mean = context_.gates.mean(work.model, views, work.cost);
-                return choose_engine({work.chat, work.cost, {}, placement_policy::cyclamenpost, 0},
-                                     views, mean, {})
-                    .engine.has_value();
+                return choose_for(*found->second, engines_for(*found->second)).engine.has_value();
             },
             now);
         if (!next) {
--- a/src/relay_job.hpp
+++ b/src/relay_job.hpp
@@ -22,6 +22,8 @@
     bool stream = false;
     bool repeatable = true;
     double cost = 1;
+    /// Prompt tokens that the last target is expected to hold.
+    std::uint64_t cached_tokens = 0;
     time_point received;
     std::optional<time_point> deadline;
     std::uint64_t fingerprint = 0;
--- a/src/relay_model.cpp
+++ b/src/relay_model.cpp
@@ -14,6 +14,8 @@
 
 // bytes of text per token, the usual estimate for byte-pair encodings
 constexpr std::size_t bytes_per_token = 4;
+// prefill of about 10,000 tokens a second
+constexpr double prefill_seconds_per_token = 0.0001;
 constexpr std::uint64_t default_output_tokens = 256;
 // requests of this cost or more wait in the class of summaries
 constexpr double summary_cost = 16;
@@ -53,7 +55,9 @@
         if (!chats_.last_target(work.chat).empty()) {
             // the engine that served the chat holds all but the newest message
             const auto newest = body["messages"].empty() ? json{} : body["messages"].back();
+            const auto whole = prompt;
             prompt = newest.dump().size() / bytes_per_token;
+            work.cached_tokens = whole - std::min(whole, prompt);
         }
         work.cost = request_cost(prompt, output);
     }
@@ -101,29 +105,47 @@
     admit(work);
 }
 
-auto relay::place_chat(const job_ptr& work) -> void
+/// Engines that may serve a request, with those left out that it must avoid.
+auto relay::engines_for(const job& work) const -> std::vector<engine_view>
 {
-    auto views = context_.gates.views(work->service, work->model);
-    for (auto& view : views) {
-        auto suspects_running = std::size_t{0};
+    auto views = context_.gates.views(work.service, work.model);
+    auto suspects = std::map<std::string, std::size_t>{};
+    if (work.suspect != suspicion::none) {
         for (const auto& [id, other] : jobs_) {
-            suspects_running += other->target == view.id && other->permit &&
-                                        other->id != work->id && other->suspect != suspicion::none
-                                    ? 1
-                                    : 0;
+            const auto runs = other->permit && other->id != work.id;
+            suspects[other->target] += runs && other->suspect != suspicion::none ? 1 : 0;
         }
+    }
+    for (auto& view : views) {
         const auto isolated =
-            work->suspect == suspicion::none || isolation_allows(work->suspect, suspects_running);
-        if (work->tried.contains(view.id) || !isolated) {
+            work.suspect == suspicion::none || isolation_allows(work.suspect, suspects[view.id]);
+        if (work.tried.contains(view.id) || !isolated) {
             view.state = target_state::gone;
         }
     }
-    const auto mean = context_.gates.mean(work->model, views, work->cost);
+    return views;
+}
+
+auto relay::choose_for(const job& work, const std::vector<engine_view>& views) const
+    -> placement_decision
+{
     auto limits = placement_limits{};
     limits.multiple = context_.config.text().config->fleet.load_multiple;
-    const auto last = std::string(chats_.last_target(work->chat));
-    const auto choice = choose_engine(
-        {work->chat, work->cost, last, placement_policy::cyclamenpost, 0}, views, mean, limits);
+    const auto last = chats_.last_target(work.chat);
+    const auto waited = std::chrono::duration<double>(monotonic_now() - work.received).count();
+    auto request = placement_request{};
+    request.chat = work.chat;
+    request.cost = work.cost;
+    request.last_target = last;
+    request.may_hold = waited < hold_time(work.cached_tokens, prefill_seconds_per_token, limits);
+    return choose_engine(request, views, context_.gates.mean(work.model, views, work.cost), limits);
+}
+
+auto relay::place_chat(const job_ptr& work) -> void
+{
+    const auto views = engines_for(*work);
+    const auto choice = choose_for(*work, views);
+    const auto mean = context_.gates.mean(work->model, views, work->cost);
     const auto order = preference_order(work->chat, views);
     work->placement_reason = name_in(placement_reason_names, choice.reason);
     log_event(log_level::info, "placement",
