--- a/include/cyclamenpost/published_text.hpp
+++ b/include/cyclamenpost/published_text.hpp
@@ -35,7 +35,13 @@
     std::uint64_t version = 0;
     std::uint64_t digest = 0;
 
-    auto operator<=>(const text_version&) const = default;
+    auto operator==(const text_version&) const -> bool = default;
+
+    auto operator<=>(const text_version& other) const -> std::strong_ordering
+    {
+        const auto by_version = version <=> other.version;
+        return std::is_eq(by_version) ? digest <=> other.digest : by_version;
+    }
 };
 
 /// Digest by which instances compare texts.
--- a/src/fleet_config_sections.cpp
+++ b/src/fleet_config_sections.cpp
@@ -10,7 +10,7 @@
 
 constexpr auto longest_name = std::size_t{64};
 constexpr auto longest_model_name = std::size_t{128};
-constexpr auto longest_timeout_ms = std::int64_t{3600 * 1000};
+constexpr auto longest_timeout_ms = std::int64_t{3600000};
 
 // reads one table and remembers the keys it was asked for
 struct table_reader {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -89,8 +89,8 @@
 }
 
 template <typename Number>
-auto number_rule(std::string flag, std::string description, std::string unit, number_range range,
-                 Number settings::*field) -> setting_rule
+auto number_rule(std::string flag, std::string description, const std::string& unit,
+                 number_range range, Number settings::*field) -> setting_rule
 {
     auto allowed = "a whole number from " + std::to_string(range.lowest) + " to " +
                    std::to_string(range.highest) + unit;
--- a/tests/unit-config_state.cpp
+++ b/tests/unit-config_state.cpp
@@ -72,7 +72,7 @@
 
 TEST_CASE("no order, loss or repetition of offers lowers a version, and all instances agree")
 {
-    check_property([](std::vector<unsigned> numbers) {
+    check_property([](const std::vector<unsigned>& numbers) {
         auto forward = config_state{};
         auto backward = config_state{};
         for (const auto number : numbers) {
@@ -134,20 +134,20 @@
 
 TEST_CASE("a delta rebuilds every text from every base")
 {
-    check_property(
-        [](std::string start, std::string old_middle, std::string new_middle, std::string end) {
-            const auto base = start + old_middle + end;
-            const auto text = start + new_middle + end;
-            const auto delta = make_delta(base, text);
-            RC_ASSERT(delta.middle.size() <= new_middle.size());
-            auto rebuilt = std::string{};
-            const auto apply = [&]() -> result<void> {
-                BOOST_LEAF_ASSIGN(rebuilt, apply_delta(base, delta));
-                return {};
-            };
-            RC_ASSERT(try_or(apply, [](const error&) {}));
-            RC_ASSERT(rebuilt == text);
-        });
+    check_property([](const std::string& start, const std::string& old_middle,
+                      const std::string& new_middle, const std::string& end) {
+        const auto base = start + old_middle + end;
+        const auto text = start + new_middle + end;
+        const auto delta = make_delta(base, text);
+        RC_ASSERT(delta.middle.size() <= new_middle.size());
+        auto rebuilt = std::string{};
+        const auto apply = [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(rebuilt, apply_delta(base, delta));
+            return {};
+        };
+        RC_ASSERT(try_or(apply, [](const error&) {}));
+        RC_ASSERT(rebuilt == text);
+    });
 }
 
 TEST_CASE("a changed word travels as a few bytes and a large text in parts")
@@ -180,7 +180,7 @@
 {
     const auto text = published(2, std::string(3 * text_part_bytes, 'a') + "end");
     const auto sender = history_of({text});
-    check_property([&](std::vector<std::uint8_t> offsets) {
+    check_property([&](const std::vector<std::uint8_t>& offsets) {
         auto transfer = begin_transfer({}, text.id);
         for (const auto offset : offsets) {
             const auto part = part_for(sender, {2, 0, offset % 4 * text_part_bytes});
--- a/tests/unit-fleet_config.cpp
+++ b/tests/unit-fleet_config.cpp
@@ -186,7 +186,7 @@
 TEST_CASE(
     "a text with random bytes never passes half: it parses or has a problem, and never throws")
 {
-    check_property([](std::vector<char> noise, std::size_t where) {
+    check_property([](const std::vector<char>& noise, std::size_t where) {
         auto text = derwent;
         text.insert(where % text.size(), std::string(noise.begin(), noise.end()));
         const auto problems = check_fleet_config(text);
--- a/tests/unit-platform_client.cpp
+++ b/tests/unit-platform_client.cpp
@@ -210,7 +210,7 @@
         request.path = path;
         request.body = body;
         auto response = std::optional<client_response>{};
-        fetch(run.loop, request, 10000, [&](client_response whole) { response = whole; });
+        fetch(run.loop, request, 10000, [&](const client_response& whole) { response = whole; });
         REQUIRE(run.until([&] { return response.has_value(); }));
         return *response;
     };
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -36,6 +36,12 @@
     return parse(std::move(flags));
 }
 
+struct rejected_setting {
+    const char* flag;
+    const char* value;
+    const char* allowed;
+};
+
 // a file that exists for the length of a test
 struct test_file {
     std::string path;
@@ -73,7 +79,7 @@
 
 TEST_CASE("a wrong setting is rejected with its name, its value and what is allowed")
 {
-    const auto cases = std::vector<std::array<const char*, 3>>{
+    const auto cases = std::vector<rejected_setting>{
         {"--listen-port", "65536", "0 to 65535"},
         {"--listen-port", "80x", "0 to 65535"},
         {"--admin-port", "-1", "0 to 65535"},
@@ -91,14 +97,16 @@
         {"--drain-seconds", "99999999999999999999", "0 to 86400"},
         {"--admin-token-file", "/none/here", "a readable file"},
     };
-    for (const auto& [flag, value, allowed] : cases) {
+    for (const auto& rejected : cases) {
+        const auto* const flag = rejected.flag;
+        const auto* const value = rejected.value;
         CAPTURE(flag);
         CAPTURE(value);
         const auto parsed = parse_with({flag, value});
         REQUIRE(!parsed.accepted);
         CHECK(parsed.failure.peer == std::string(flag).substr(2));
         CHECK(parsed.failure.message.find(value) != std::string::npos);
-        CHECK_MESSAGE(parsed.failure.message.find(allowed) != std::string::npos,
+        CHECK_MESSAGE(parsed.failure.message.find(rejected.allowed) != std::string::npos,
                       describe(parsed.failure));
     }
 }
