--- a/include/cyclamenpost/idempotency.hpp
+++ b/include/cyclamenpost/idempotency.hpp
@@ -33,6 +33,9 @@
 /// Formats a key.
 auto format_key(const idempotency_key& key) -> std::string;
 
+/// Formats a key without its nonce, as lookup hands it out.
+auto format_prefix(const idempotency_key& key) -> std::string;
+
 /// State of a recorded call.
 enum class record_state { in_progress, completed, unknown };
 
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -355,8 +355,7 @@
 
 auto format_key(const idempotency_key& key) -> std::string
 {
-    return key.instance + "." + to_hex(key.incarnation) + "." + std::to_string(key.issued_ms) +
-           "." + key.nonce;
+    return format_prefix(key) + "." + key.nonce;
 }
 
 auto make_idempotency_table(std::string instance, incarnation_id incarnation, std::int64_t wall_ms,
@@ -377,10 +376,14 @@
     return table.start_wall_ms + since.count();
 }
 
+auto format_prefix(const idempotency_key& key) -> std::string
+{
+    return key.instance + "." + to_hex(key.incarnation) + "." + std::to_string(key.issued_ms);
+}
+
 auto issue_prefix(const idempotency_table& table, time_point now) -> std::string
 {
-    return table.instance + "." + to_hex(table.incarnation) + "." +
-           std::to_string(table_ms(table, now));
+    return format_prefix({table.instance, table.incarnation, table_ms(table, now), {}});
 }
 
 auto content_hash(std::string_view organisation, std::string_view method, std::string_view path,
--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -13,6 +13,7 @@
 // traffic between zones
 constexpr std::size_t largest_flat_zone = 8;
 constexpr std::size_t collectors_per_zone = 4;
+constexpr std::size_t zones_per_relayed = 4;
 
 auto is_fresh(const membership_state& state, const load_sums& sums, time_point now) -> bool
 {
@@ -142,8 +143,17 @@
     std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) {
         return left.sums.measured > right.sums.measured;
     });
-    loads.resize(std::min<std::size_t>(loads.size(), state.settings.relayed_zones));
-    loads.insert(loads.begin(), {name_key(state.self.zone), own_zone_load(state, now)});
+    // the own zone's other representative learns the zone's load from the two collected parts
+    const auto fellow = zone == state.self.zone;
+    // with few zones every sum arrives from its own zone often enough
+    const auto relayed = fellow
+                             ? state.settings.relayed_zones
+                             : std::min<std::size_t>(state.settings.relayed_zones,
+                                                     state.zone_loads.size() / zones_per_relayed);
+    loads.resize(std::min<std::size_t>(loads.size(), relayed));
+    if (!fellow) {
+        loads.insert(loads.begin(), {name_key(state.self.zone), own_zone_load(state, now)});
+    }
     return loads;
 }
 
@@ -165,6 +175,45 @@
     }
 }
 
+auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool
+{
+    const auto chosen = representatives(state, state.self.zone);
+    const auto has = [&](const std::string& member) {
+        return std::find(chosen.begin(), chosen.end(), member) != chosen.end();
+    };
+    return has(state.self.identity.id) && has(id);
+}
+
+auto add_loads(const membership_state& state, gossip_message& message, const member_record& to,
+               time_point now) -> void
+{
+    if (to.zone != state.self.zone) {
+        if (is_representative(state)) {
+            message.zone_loads = zone_loads_for(state, to.zone, now);
+        }
+        return;
+    }
+    if (is_fellow_representative(state, to.identity.id)) {
+        message.load = collected_load(state, now);
+        message.zone_loads = zone_loads_for(state, to.zone, now);
+        return;
+    }
+    const auto ranked = ranked_members(state, state.self.zone);
+    if (collector_of(ranked, to.identity.id) == state.self.identity.id) {
+        message.fleet_load = known_fleet_load(state, now);
+    }
+}
+
+auto members_reporting_to_self(const membership_state& state) -> std::vector<std::string>
+{
+    auto ranked = ranked_members(state, state.self.zone);
+    const auto all = ranked;
+    std::erase_if(ranked, [&](const std::string& id) {
+        return collector_of(all, id) != state.self.identity.id;
+    });
+    return ranked;
+}
+
 } // namespace detail
 
 auto representatives(const membership_state& state, std::string_view zone)
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -20,6 +20,8 @@
 constexpr duration drain_review_period = 100ms;
 // callers keep lookup answers and peers need a moment to learn that this instance leaves
 constexpr duration drain_grace = 1s;
+// largest difference of wall clocks between instances that keys allow for
+constexpr std::int64_t clock_difference_ms = 2000;
 
 auto random_incarnation() -> incarnation_id
 {
@@ -105,6 +107,7 @@
     auto start_admin() -> result<void>;
     auto on_request(http_request request, const std::shared_ptr<http_exchange>& exchange) -> void;
     auto answer_lookup(const http_request& request, http_exchange& exchange) -> void;
+    auto key_prefix_for(const std::string& instance) const -> std::string;
     auto preferred_gates(const std::string& chat, const std::string& model) const
         -> std::vector<std::string>;
     auto view_of_fleet() const -> lookup_view;
@@ -284,6 +287,26 @@
     return view;
 }
 
+/// Prefix of idempotency keys for the instance that lookup names first, which alone accepts them.
+/// Keys for another instance are dated back, so that a small difference of clocks does not place
+/// their issue in that instance's future.
+auto router::state::key_prefix_for(const std::string& instance) const -> std::string
+{
+    const auto member = find_member(cluster.members(), instance);
+    const auto heard = member && member->identity.start_ms != 0;
+    if (instance == self.identity.id || !heard) {
+        return requests.key_prefix();
+    }
+    const auto now = wall_clock_ms();
+    const auto dated_back = now - clock_difference_ms;
+    const auto started = static_cast<std::int64_t>(member->identity.start_ms) + clock_difference_ms;
+    auto key = idempotency_key{};
+    key.instance = instance;
+    key.incarnation = member->identity.incarnation;
+    key.issued_ms = dated_back > started ? dated_back : now;
+    return format_prefix(key);
+}
+
 auto router::state::answer_lookup(const http_request& request, http_exchange& exchange) -> void
 {
     if (!config.ready() || !config.text().config) {
@@ -315,7 +338,9 @@
     const auto body = json{{"addresses", addresses},
                            {"valid_ms", answer.valid / 1ms},
                            {"config_version", in_force(config.text()).version},
-                           {"key_prefix", requests.key_prefix()}};
+                           {"key_prefix", key_prefix_for(answer.addresses.empty()
+                                                             ? self.identity.id
+                                                             : answer.addresses.front().instance)}};
     exchange.respond(200, {{"content-type", "application/json"}}, body.dump());
 }
 
