--- a/include/cyclamenpost/retries.hpp
+++ b/include/cyclamenpost/retries.hpp
@@ -73,7 +73,7 @@
 
 /// Wait before a retry: full jitter over an exponential of the attempt number. `random` is in
 /// [0, 1).
-auto retry_delay(std::uint32_t attempt, double random) -> duration;
+auto attempt_delay(std::uint32_t attempt, double random) -> duration;
 
 /// What a retry decision depends on.
 struct retry_input {
--- a/src/retries.cpp
+++ b/src/retries.cpp
@@ -150,7 +150,7 @@
     return !deadline || now + expected < *deadline;
 }
 
-auto retry_delay(std::uint32_t attempt, double random) -> duration
+auto attempt_delay(std::uint32_t attempt, double random) -> duration
 {
     return full_jitter(first_retry_delay, longest_retry_delay, attempt, random);
 }
--- a/tests/unit-idempotency.cpp
+++ b/tests/unit-idempotency.cpp
@@ -3,7 +3,7 @@
 #include <map>
 
 #include "cyclamenpost/idempotency.hpp"
-#include "seeded_check.hpp"
+#include "property.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
@@ -336,37 +336,41 @@
 
 TEST_CASE("any interleaving of calls, ends, restarts and evictions dispatches a key at most once")
 {
-    testing::seeded_check(20261204, 400, [] {
-        auto limits = idempotency_limits{};
-        limits.records = 6;
-        limits.orders = 4;
-        limits.retention_ms = short_retention_ms;
-        auto run = random_run{new_table(limits), 1s, {}, {}, 200};
-        for (auto step = 0; step < 150; ++step) {
-            take_step(run);
-            RC_ASSERT(run.table.records.size() <= limits.records);
-            RC_ASSERT(run.table.record_expiry.size() == run.table.records.size());
-            RC_ASSERT(run.table.order_expiry.size() == run.table.orders.size());
-        }
-    });
+    check_property(
+        [] {
+            auto limits = idempotency_limits{};
+            limits.records = 6;
+            limits.orders = 4;
+            limits.retention_ms = short_retention_ms;
+            auto run = random_run{new_table(limits), 1s, {}, {}, 200};
+            for (auto step = 0; step < 150; ++step) {
+                take_step(run);
+                RC_ASSERT(run.table.records.size() <= limits.records);
+                RC_ASSERT(run.table.record_expiry.size() == run.table.records.size());
+                RC_ASSERT(run.table.order_expiry.size() == run.table.orders.size());
+            }
+        },
+        400);
 }
 
 TEST_CASE("the notices of one order leave peers with the same record in any order of arrival")
 {
-    testing::seeded_check(7, 200, [] {
-        auto runner = new_table({}, 0x2f);
-        const auto first = begin_with_order(runner, "a", 1s);
-        const auto begun = *notice_of_order(runner, 99);
-        const auto done = *complete_call(runner, first.key_hash, {201, "", "x", true});
-        auto peer = new_table();
-        const auto deliveries =
-            *rc::gen::container<std::vector<bool>>(6, rc::gen::arbitrary<bool>());
-        for (const auto late : deliveries) {
-            merge_order(peer, late ? done : begun, at(2s));
-        }
-        merge_order(peer, done, at(2s));
-        RC_ASSERT(peer.orders.at(99).state == record_state::completed);
-        RC_ASSERT(peer.orders.at(99).answer->body == "x");
-        RC_ASSERT(peer.body_bytes == 1U);
-    });
+    check_property(
+        [] {
+            auto runner = new_table({}, 0x2f);
+            const auto first = begin_with_order(runner, "a", 1s);
+            const auto begun = *notice_of_order(runner, 99);
+            const auto done = *complete_call(runner, first.key_hash, {201, "", "x", true});
+            auto peer = new_table();
+            const auto deliveries =
+                *rc::gen::container<std::vector<bool>>(6, rc::gen::arbitrary<bool>());
+            for (const auto late : deliveries) {
+                merge_order(peer, late ? done : begun, at(2s));
+            }
+            merge_order(peer, done, at(2s));
+            RC_ASSERT(peer.orders.at(99).state == record_state::completed);
+            RC_ASSERT(peer.orders.at(99).answer->body == "x");
+            RC_ASSERT(peer.body_bytes == 1U);
+        },
+        200);
 }
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -4,7 +4,7 @@
 #include <map>
 
 #include "cyclamenpost/limits.hpp"
-#include "seeded_check.hpp"
+#include "property.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
@@ -220,47 +220,49 @@
 
 TEST_CASE("any sequence of operations keeps the indexes equal and forgets idle organisations")
 {
-    testing::seeded_check(11, 200, [] {
-        auto settings = queue_settings{};
-        settings.max_queued = 12;
-        settings.max_queued_per_organisation = 8;
-        auto queue = make_fair_queue(settings);
-        auto running = std::vector<std::string>{};
-        auto now = at(0s);
-        for (auto id = std::uint64_t{1}; id < 200; ++id) {
-            const auto pick = *rc::gen::inRange(0, 8);
-            if (pick < 4) {
-                const auto organisation = std::to_string(*rc::gen::inRange(0, 5));
-                enqueue_work(queue, work_of(id, organisation, 1 + id % 9), now);
-            }
-            else if (pick < 6) {
-                if (const auto work = next_work(queue, any, now)) {
-                    running.push_back(work->organisation);
+    check_property(
+        [] {
+            auto settings = queue_settings{};
+            settings.max_queued = 12;
+            settings.max_queued_per_organisation = 8;
+            auto queue = make_fair_queue(settings);
+            auto running = std::vector<std::string>{};
+            auto now = at(0s);
+            for (auto id = std::uint64_t{1}; id < 200; ++id) {
+                const auto pick = *rc::gen::inRange(0, 8);
+                if (pick < 4) {
+                    const auto organisation = std::to_string(*rc::gen::inRange(0, 5));
+                    enqueue_work(queue, work_of(id, organisation, 1 + id % 9), now);
                 }
+                else if (pick < 6) {
+                    if (const auto work = next_work(queue, any, now)) {
+                        running.push_back(work->organisation);
+                    }
+                }
+                else if (pick == 6) {
+                    cancel_work(queue, id / 2);
+                    now += 300ms;
+                    expire_work(queue, now);
+                }
+                else if (!running.empty()) {
+                    finish_work(queue, running.back());
+                    running.pop_back();
+                }
+                auto listed = std::size_t{0};
+                for (const auto& [name, one] : queue.organisations) {
+                    listed += one.interactive.size() + one.summary.size();
+                }
+                RC_ASSERT(listed == queue.by_id.size());
+                RC_ASSERT(listed == queue.expiry.size());
+                RC_ASSERT(listed <= settings.max_queued);
             }
-            else if (pick == 6) {
-                cancel_work(queue, id / 2);
-                now += 300ms;
-                expire_work(queue, now);
-            }
-            else if (!running.empty()) {
-                finish_work(queue, running.back());
-                running.pop_back();
-            }
-            auto listed = std::size_t{0};
-            for (const auto& [name, one] : queue.organisations) {
-                listed += one.interactive.size() + one.summary.size();
+            expire_work(queue, now + 1min);
+            for (const auto& organisation : running) {
+                finish_work(queue, organisation);
             }
-            RC_ASSERT(listed == queue.by_id.size());
-            RC_ASSERT(listed == queue.expiry.size());
-            RC_ASSERT(listed <= settings.max_queued);
-        }
-        expire_work(queue, now + 1min);
-        for (const auto& organisation : running) {
-            finish_work(queue, organisation);
-        }
-        RC_ASSERT(queue.organisations.empty());
-        RC_ASSERT(queue.fresh.empty());
-        RC_ASSERT(queue.turns.empty());
-    });
+            RC_ASSERT(queue.organisations.empty());
+            RC_ASSERT(queue.fresh.empty());
+            RC_ASSERT(queue.turns.empty());
+        },
+        200);
 }
--- a/tests/unit-retries.cpp
+++ b/tests/unit-retries.cpp
@@ -3,7 +3,7 @@
 #include <deque>
 
 #include "cyclamenpost/retries.hpp"
-#include "seeded_check.hpp"
+#include "property.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
@@ -46,31 +46,33 @@
 
 TEST_CASE("retries in any ten seconds stay within a tenth of the first attempts plus ten")
 {
-    testing::seeded_check(3, 200, [] {
-        auto budget = retry_budget{};
-        auto firsts = std::deque<time_point>{};
-        auto retries = std::deque<time_point>{};
-        auto now = at(0s);
-        const auto forget = [&](std::deque<time_point>& times) {
-            while (!times.empty() && times.front() <= now - 10s) {
-                times.pop_front();
+    check_property(
+        [] {
+            auto budget = retry_budget{};
+            auto firsts = std::deque<time_point>{};
+            auto retries = std::deque<time_point>{};
+            auto now = at(0s);
+            const auto forget = [&](std::deque<time_point>& times) {
+                while (!times.empty() && times.front() <= now - 10s) {
+                    times.pop_front();
+                }
+            };
+            for (auto i = 0; i < 400; ++i) {
+                now += std::chrono::milliseconds{*rc::gen::inRange(0, 200)};
+                forget(firsts);
+                forget(retries);
+                if (*rc::gen::inRange(0, 3) > 0) {
+                    count_first_attempt(budget, now);
+                    firsts.push_back(now);
+                }
+                else if (spend_retry(budget, now)) {
+                    retries.push_back(now);
+                    RC_ASSERT(static_cast<double>(retries.size()) <=
+                              0.1 * static_cast<double>(firsts.size()) + 10.0);
+                }
             }
-        };
-        for (auto i = 0; i < 400; ++i) {
-            now += std::chrono::milliseconds{*rc::gen::inRange(0, 200)};
-            forget(firsts);
-            forget(retries);
-            if (*rc::gen::inRange(0, 3) > 0) {
-                count_first_attempt(budget, now);
-                firsts.push_back(now);
-            }
-            else if (spend_retry(budget, now)) {
-                retries.push_back(now);
-                RC_ASSERT(static_cast<double>(retries.size()) <=
-                          0.1 * static_cast<double>(firsts.size()) + 10.0);
-            }
-        }
-    });
+        },
+        200);
 }
 
 TEST_CASE("only repeatable calls without an answer are hedged, after p95 and before the deadline")
@@ -137,9 +139,9 @@
 
 TEST_CASE("the wait before a retry is spread over a bounded interval")
 {
-    CHECK(retry_delay(1, 0.0) == 0ms);
-    CHECK(retry_delay(1, 0.5) == 25ms);
-    CHECK(retry_delay(100, 1.0) == 400ms);
+    CHECK(attempt_delay(1, 0.0) == 0ms);
+    CHECK(attempt_delay(1, 0.5) == 25ms);
+    CHECK(attempt_delay(100, 1.0) == 400ms);
 }
 
 TEST_CASE("content is stopped by strikes from two incarnations, not by two reports of one death")
