Let the request path examine a call before other refusals and queue it again

The request path refuses a draining instance or a zone that is out before it looks at the key, so a repeat of a call that ran was answered not_run; examine_call answers first. A key newer than the member table was called ended; judge_owner says not heard of. Work queued again got a new time limit, and every organisation name from a header was kept in the shares; both are bounded now.

--- a/include/cyclamenpost/idempotency.hpp
+++ b/include/cyclamenpost/idempotency.hpp
@@ -138,6 +138,19 @@
     std::string zone;
 };
 
+/// Incarnation of an instance as the member table knows it.
+struct known_incarnation {
+    incarnation_id incarnation = 0;
+    /// Wall-clock milliseconds of its start, which orders the incarnations of one instance.
+    std::int64_t start_ms = 0;
+    bool alive = false;
+};
+
+/// State of the incarnation that issued a key. A key issued after the start of the incarnation
+/// known here belongs to a newer one, which this member table has not heard of yet.
+auto judge_owner(std::string_view key, const std::optional<known_incarnation>& known)
+    -> owner_state;
+
 /// A call that may not be repeated.
 struct call_request {
     /// Value of the Idempotency-Key header; empty when the caller sent none.
@@ -177,6 +190,11 @@
 auto foreign_owner(const idempotency_table& table, std::string_view key)
     -> std::optional<std::pair<std::string, incarnation_id>>;
 
+/// Decides about a call without recording it: `run` means that `begin_call` may run it. Asked
+/// before any other ground for a refusal, so that a call that ran is never answered with "not run".
+auto examine_call(const idempotency_table& table, const call_request& call, time_point now)
+    -> call_decision;
+
 /// Decides about a call and records it as in progress when it may run. A key is answered with
 /// `run` at most once unless `abandon_call` proves that the dispatch did not happen.
 auto begin_call(idempotency_table& table, const call_request& call, time_point now)
--- a/include/cyclamenpost/limits.hpp
+++ b/include/cyclamenpost/limits.hpp
@@ -29,6 +29,8 @@
     std::string organisation;
     work_class kind = work_class::interactive;
     std::uint64_t cost = 1;
+    /// Start of the wait. Work that is queued again keeps it, so its time limit does not start
+    /// anew; left at zero, it is the time of queueing.
     time_point enqueued;
     /// The caller's deadline; the queue's own time limit may end the wait earlier.
     std::optional<time_point> deadline;
@@ -38,6 +40,8 @@
 struct organisation_share {
     std::uint32_t weight = 1;
     std::uint32_t max_concurrent = 64;
+
+    auto operator==(const organisation_share&) const -> bool = default;
 };
 
 /// Bounds of a queue.
@@ -89,7 +93,8 @@
 /// Starts an empty queue.
 auto make_fair_queue(queue_settings settings = {}) -> fair_queue;
 
-/// Sets the share of an organisation. Weight and concurrency limit 0 count as 1.
+/// Sets the share of an organisation. Weight and concurrency limit 0 count as 1. The default share
+/// is not stored, so names that callers invent take no memory.
 auto set_share(fair_queue& queue, const std::string& organisation, organisation_share share)
     -> void;
 
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -412,7 +412,20 @@
     return std::pair{parsed->instance, parsed->incarnation};
 }
 
-auto begin_call(idempotency_table& table, const call_request& call, time_point now) -> call_decision
+auto judge_owner(std::string_view key, const std::optional<known_incarnation>& known) -> owner_state
+{
+    const auto parsed = parse_key(key);
+    if (!parsed || !known) {
+        return owner_state::not_heard_of;
+    }
+    if (parsed->incarnation == known->incarnation) {
+        return known->alive ? owner_state::alive : owner_state::ended;
+    }
+    return parsed->issued_ms < known->start_ms ? owner_state::ended : owner_state::not_heard_of;
+}
+
+auto examine_call(const idempotency_table& table, const call_request& call, time_point now)
+    -> call_decision
 {
     if (call.key.empty()) {
         return refuse_missing_key();
@@ -430,13 +443,11 @@
         return refuse(make_problem(refusal::key_not_issued,
                                    "The issue time lies outside the life of this instance"));
     }
-    const auto expires_ms = key->issued_ms + table.limits.retention_ms;
-    if (expires_ms <= now_ms) {
+    if (key->issued_ms + table.limits.retention_ms <= now_ms) {
         return refuse(make_problem(refusal::key_expired,
                                    "Its record is no longer kept; ask the application whether "
                                    "the call took effect"));
     }
-    evict_expired(table, now);
     const auto key_hash = hash64(format_key(*key));
     const auto known = table.records.find(key_hash);
     if (known != table.records.end()) {
@@ -445,16 +456,28 @@
     if (auto refused = check_order(table, call)) {
         return std::move(*refused);
     }
-    if (!has_room(table, call)) {
-        return refuse_full_table();
-    }
-    record_call(table, key_hash, call, expires_ms, now_ms);
     auto decision = call_decision{};
     decision.action = call_action::run;
     decision.key_hash = key_hash;
     return decision;
 }
 
+auto begin_call(idempotency_table& table, const call_request& call, time_point now) -> call_decision
+{
+    evict_expired(table, now);
+    auto decision = examine_call(table, call, now);
+    if (decision.action != call_action::run) {
+        return decision;
+    }
+    if (!has_room(table, call)) {
+        return refuse_full_table();
+    }
+    const auto now_ms = table_ms(table, now);
+    const auto expires_ms = parse_key(call.key)->issued_ms + table.limits.retention_ms;
+    record_call(table, decision.key_hash, call, expires_ms, now_ms);
+    return decision;
+}
+
 auto complete_call(idempotency_table& table, std::uint64_t key_hash, recorded_answer answer)
     -> std::optional<order_notice>
 {
--- a/src/limits.cpp
+++ b/src/limits.cpp
@@ -257,16 +257,25 @@
 {
     share.weight = std::max(share.weight, 1U);
     share.max_concurrent = std::max(share.max_concurrent, 1U);
+    if (share == queue.settings.default_share) {
+        queue.shares.erase(organisation);
+        return;
+    }
     queue.shares[organisation] = share;
 }
 
 auto enqueue_work(fair_queue& queue, queued_work work, time_point now) -> enqueue_decision
 {
-    work.enqueued = now;
+    if (work.enqueued == time_point{}) {
+        work.enqueued = now;
+    }
     work.cost = std::max<std::uint64_t>(work.cost, 1);
     if (work.deadline && *work.deadline <= now) {
         return refuse_work(refusal::deadline_passed);
     }
+    if (expires_at(queue.settings, work) <= now) {
+        return refuse_work(refusal::queue_timeout);
+    }
     if (queue.by_id.contains(work.id)) {
         return refuse_work(refusal::request_invalid);
     }
--- a/tests/unit-idempotency.cpp
+++ b/tests/unit-idempotency.cpp
@@ -137,6 +137,26 @@
     CHECK(reason_of(begin_call(table, former, at(1s))) == refusal::owner_ended);
 }
 
+TEST_CASE("a key of an incarnation that the member table has not heard of yet is not called ended")
+{
+    const auto* key = "i2.2b.5000.n";
+    CHECK(judge_owner(key, std::nullopt) == owner_state::not_heard_of);
+    CHECK(judge_owner(key, known_incarnation{0x2b, 4000, true}) == owner_state::alive);
+    CHECK(judge_owner(key, known_incarnation{0x2b, 4000, false}) == owner_state::ended);
+    CHECK(judge_owner(key, known_incarnation{0x2c, 6000, true}) == owner_state::ended);
+    CHECK(judge_owner(key, known_incarnation{0x2a, 4000, true}) == owner_state::not_heard_of);
+}
+
+TEST_CASE("examining a call records nothing and tells a call that ran from a new one")
+{
+    auto table = new_table();
+    const auto key = key_at(table, 1s);
+    CHECK(examine_call(table, call_with(key), at(1s)).action == call_action::run);
+    CHECK(table.records.empty());
+    complete_call(table, begin_call(table, call_with(key), at(1s)).key_hash, {200, "", "", true});
+    CHECK(examine_call(table, call_with(key), at(2s)).action == call_action::replay);
+}
+
 TEST_CASE("keys from outside the instance's life or past their retention never run")
 {
     auto table = new_table();
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -179,6 +179,28 @@
     CHECK(enqueue_work(queue, hurried, at(1s)).reason == refusal::deadline_passed);
 }
 
+TEST_CASE("work that is queued again keeps its time limit")
+{
+    auto queue = make_fair_queue();
+    enqueue_work(queue, work_of(1, "a"), at(0s));
+    const auto started = next_work(queue, any, at(1500ms));
+    REQUIRE(started);
+    finish_work(queue, "a");
+    CHECK(enqueue_work(queue, *started, at(1600ms)).queued);
+    CHECK(expire_work(queue, at(2s)).size() == 1);
+    CHECK(enqueue_work(queue, *started, at(2s)).reason == refusal::queue_timeout);
+}
+
+TEST_CASE("names that callers invent take no memory")
+{
+    auto queue = make_fair_queue();
+    set_share(queue, "named", {3, 5});
+    set_share(queue, "invented", queue.settings.default_share);
+    CHECK(queue.shares.size() == 1);
+    set_share(queue, "named", queue.settings.default_share);
+    CHECK(queue.shares.empty());
+}
+
 TEST_CASE("cancelled work leaves the queue and never starts")
 {
     auto queue = make_fair_queue();
