--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -4,7 +4,7 @@
 #include <map>
 
 #include "cyclamenpost/limits.hpp"
-#include "seeded_check.hpp"
+#include "property.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
@@ -179,6 +179,28 @@
     CHECK(enqueue_work(queue, hurried, at(1s)).reason == refusal::deadline_passed);
 }
 
+TEST_CASE("work that is queued again keeps its time limit")
+{
+    auto queue = make_fair_queue();
+    enqueue_work(queue, work_of(1, "a"), at(0s));
+    const auto started = next_work(queue, any, at(1500ms));
+    REQUIRE(started);
+    finish_work(queue, "a");
+    CHECK(enqueue_work(queue, *started, at(1600ms)).queued);
+    CHECK(expire_work(queue, at(2s)).size() == 1);
+    CHECK(enqueue_work(queue, *started, at(2s)).reason == refusal::queue_timeout);
+}
+
+TEST_CASE("names that callers invent take no memory")
+{
+    auto queue = make_fair_queue();
+    set_share(queue, "named", {3, 5});
+    set_share(queue, "invented", queue.settings.default_share);
+    CHECK(queue.shares.size() == 1);
+    set_share(queue, "named", queue.settings.default_share);
+    CHECK(queue.shares.empty());
+}
+
 TEST_CASE("cancelled work leaves the queue and never starts")
 {
     auto queue = make_fair_queue();
@@ -220,47 +242,49 @@
 
 TEST_CASE("any sequence of operations keeps the indexes equal and forgets idle organisations")
 {
-    testing::seeded_check(11, 200, [] {
-        auto settings = queue_settings{};
-        settings.max_queued = 12;
-        settings.max_queued_per_organisation = 8;
-        auto queue = make_fair_queue(settings);
-        auto running = std::vector<std::string>{};
-        auto now = at(0s);
-        for (auto id = std::uint64_t{1}; id < 200; ++id) {
-            const auto pick = *rc::gen::inRange(0, 8);
-            if (pick < 4) {
-                const auto organisation = std::to_string(*rc::gen::inRange(0, 5));
-                enqueue_work(queue, work_of(id, organisation, 1 + id % 9), now);
-            }
-            else if (pick < 6) {
-                if (const auto work = next_work(queue, any, now)) {
-                    running.push_back(work->organisation);
+    check_property(
+        [] {
+            auto settings = queue_settings{};
+            settings.max_queued = 12;
+            settings.max_queued_per_organisation = 8;
+            auto queue = make_fair_queue(settings);
+            auto running = std::vector<std::string>{};
+            auto now = at(0s);
+            for (auto id = std::uint64_t{1}; id < 200; ++id) {
+                const auto pick = *rc::gen::inRange(0, 8);
+                if (pick < 4) {
+                    const auto organisation = std::to_string(*rc::gen::inRange(0, 5));
+                    enqueue_work(queue, work_of(id, organisation, 1 + id % 9), now);
                 }
+                else if (pick < 6) {
+                    if (const auto work = next_work(queue, any, now)) {
+                        running.push_back(work->organisation);
+                    }
+                }
+                else if (pick == 6) {
+                    cancel_work(queue, id / 2);
+                    now += 300ms;
+                    expire_work(queue, now);
+                }
+                else if (!running.empty()) {
+                    finish_work(queue, running.back());
+                    running.pop_back();
+                }
+                auto listed = std::size_t{0};
+                for (const auto& [name, one] : queue.organisations) {
+                    listed += one.interactive.size() + one.summary.size();
+                }
+                RC_ASSERT(listed == queue.by_id.size());
+                RC_ASSERT(listed == queue.expiry.size());
+                RC_ASSERT(listed <= settings.max_queued);
             }
-            else if (pick == 6) {
-                cancel_work(queue, id / 2);
-                now += 300ms;
-                expire_work(queue, now);
-            }
-            else if (!running.empty()) {
-                finish_work(queue, running.back());
-                running.pop_back();
-            }
-            auto listed = std::size_t{0};
-            for (const auto& [name, one] : queue.organisations) {
-                listed += one.interactive.size() + one.summary.size();
+            expire_work(queue, now + 1min);
+            for (const auto& organisation : running) {
+                finish_work(queue, organisation);
             }
-            RC_ASSERT(listed == queue.by_id.size());
-            RC_ASSERT(listed == queue.expiry.size());
-            RC_ASSERT(listed <= settings.max_queued);
-        }
-        expire_work(queue, now + 1min);
-        for (const auto& organisation : running) {
-            finish_work(queue, organisation);
-        }
-        RC_ASSERT(queue.organisations.empty());
-        RC_ASSERT(queue.fresh.empty());
-        RC_ASSERT(queue.turns.empty());
-    });
+            RC_ASSERT(queue.organisations.empty());
+            RC_ASSERT(queue.fresh.empty());
+            RC_ASSERT(queue.turns.empty());
+        },
+        200);
 }
