Count waiting demand in the mean and keep chats at their first engine's gate

Change: waiting demand raises the mean by at most 15%; lookup keeps the gate of the first listed engine.

--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -279,6 +279,7 @@
     {
         switch (due.kind) {
         case event_kind::arrival:
+            waiting_ -= due.cost;
             place(due.index);
             break;
         case event_kind::finish:
@@ -369,6 +370,8 @@
         for (auto& sent : sent_) {
             std::ranges::fill(sent, 0);
         }
+        waiting_known_ = waiting_before_;
+        waiting_before_ = waiting_;
         if (now_ >= warm_up_seconds && requests / count >= busy_requests) {
             const auto skew = highest / (sum / count);
             result_.skews.push_back(skew);
@@ -527,14 +530,13 @@
         return views;
     }
 
-    /// The router is the gate of the chat's first serving engine, as lookup returns it.
+    /// The router is the gate of the chat's first listed engine, also while that engine restarts,
+    /// so that the chat's record stays where the chat returns to.
     auto place_through_gates(std::size_t number) -> void
     {
         auto request = request_of(number);
         const auto order = preference_order(request.chat, views_);
-        const auto first =
-            std::ranges::find_if(order, [&](std::size_t index) { return serving(index); });
-        const auto router = gates_[*first];
+        const auto router = gates_[order.front()];
         request.last_target = tables_[router].last_target(request.chat);
         const auto hold = hold_time(static_cast<std::uint64_t>(trace_[number].context),
                                     prefill_seconds_per_token, limits_);
@@ -594,6 +596,7 @@
         return {};
     }
 
+    /// Mean of the loads and of the waiting demand, one to two seconds old.
     auto lagged_mean() const -> double
     {
         auto sum = 0.0;
@@ -604,7 +607,7 @@
                 count += 1;
             }
         }
-        return sum / count;
+        return mean_with_waiting(sum / count, waiting_known_ / count, limits_);
     }
 
     auto gate_admits(std::size_t index, const trace_request& request) const -> bool
@@ -619,7 +622,9 @@
     auto wait_or_refuse(std::size_t number) -> void
     {
         if (now_ + retry_seconds - trace_[number].at <= trace_[number].patience) {
-            add({now_ + retry_seconds, event_kind::arrival, number});
+            const auto cost = cost_with(trace_[number], trace_[number].context);
+            waiting_ += cost;
+            add({now_ + retry_seconds, event_kind::arrival, number, 0, cost});
             return;
         }
         if (now_ >= warm_up_seconds) {
@@ -649,6 +654,9 @@
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     std::string chat_name_;
     double now_ = 0;
+    double waiting_ = 0;
+    double waiting_before_ = 0;
+    double waiting_known_ = 0;
     run_result result_;
 };
 
--- a/include/cyclamenpost/placement.hpp
+++ b/include/cyclamenpost/placement.hpp
@@ -74,6 +74,9 @@
 struct placement_limits {
     /// Multiple of the mean load that no engine exceeds.
     double multiple = 1.25;
+    /// Waiting demand raises the mean by at most this share, so that a burst is admitted at the
+    /// rate at which it can spread over the engines.
+    double waiting_share = 0.15;
     /// Requests above this cost together use only half of an engine's bound.
     double large_cost = 16;
     /// A cache hint counts only for engines this early in the preference order.
@@ -111,6 +114,10 @@
 /// Mean load over the engines, including a new request of the given cost.
 auto mean_load(std::span<const engine_view> engines, double cost) -> double;
 
+/// Mean load with the demand that waits for a permit, both per engine. Without the waiting part a
+/// fleet whose bound follows its own admitted load grows too slowly in a burst.
+auto mean_with_waiting(double mean, double waiting, const placement_limits& limits) -> double;
+
 /// Highest load of a warm engine after it takes a request of this cost: the multiple of the mean.
 /// An engine at or below the mean always accepts one request, because otherwise a fleet with few
 /// large requests could never take more than one on each engine. Consistent hashing with bounded
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -195,6 +195,11 @@
     return count == 0 ? 0 : sum / static_cast<double>(count);
 }
 
+auto mean_with_waiting(double mean, double waiting, const placement_limits& limits) -> double
+{
+    return mean + std::min(waiting, mean * limits.waiting_share);
+}
+
 auto load_bound(double mean, double cost, const placement_limits& limits) -> double
 {
     return std::max(std::ceil(limits.multiple * mean), mean + cost);
