--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -22,7 +22,6 @@
 constexpr auto decode_seconds_per_token = 0.02;
 constexpr auto cache_tokens = 1'000'000.0;
 constexpr auto busy_requests = 8.0;
-constexpr auto load_lag_seconds = 1.0;
 constexpr auto event_lag_seconds = 2.0;
 constexpr auto hint_age_seconds = 600.0;
 constexpr auto retry_seconds = 0.1;
