--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1,5 +1,6 @@
 #include "cyclamenpost/router.hpp"
 
+#include <algorithm>
 #include <random>
 
 #include <nlohmann/json.hpp>
@@ -107,6 +108,7 @@
     auto start_admin() -> result<void>;
     auto on_request(http_request request, const std::shared_ptr<http_exchange>& exchange) -> void;
     auto answer_lookup(const http_request& request, http_exchange& exchange) -> void;
+    auto put_known_incarnation_first(lookup_answer& answer) const -> void;
     auto key_prefix_for(const std::string& instance) const -> std::string;
     auto preferred_gates(const std::string& chat, const std::string& model) const
         -> std::vector<std::string>;
@@ -307,6 +309,23 @@
     return format_prefix(key);
 }
 
+/// Moves the first instance whose incarnation is known to the front, because a key can only be
+/// handed out for a known incarnation. Matters in the first second after a start.
+auto router::state::put_known_incarnation_first(lookup_answer& answer) const -> void
+{
+    const auto known = [&](const alternative& address) {
+        const auto member = find_member(cluster.members(), address.instance);
+        return member && member->identity.start_ms != 0;
+    };
+    const auto first = std::find_if(answer.addresses.begin(), answer.addresses.end(), known);
+    if (first != answer.addresses.end()) {
+        std::rotate(answer.addresses.begin(), first, first + 1);
+    }
+    else if (!leaving) {
+        answer.addresses.insert(answer.addresses.begin(), {self.http, self.zone, self.identity.id});
+    }
+}
+
 auto router::state::answer_lookup(const http_request& request, http_exchange& exchange) -> void
 {
     if (!config.ready() || !config.text().config) {
@@ -324,7 +343,8 @@
     query.organisation = organisation;
     query.model = model;
     query.preferred = preferred_gates(chat, model);
-    const auto answer = lookup_addresses(view_of_fleet(), query, random());
+    auto answer = lookup_addresses(view_of_fleet(), query, random());
+    put_known_incarnation_first(answer);
     auto addresses = json::array();
     auto names = std::string{};
     for (const auto& address : answer.addresses) {
