Collect loads on request and exchange sums right after

Cause: every hop of a load waited for the sender's own period. Change: a representative asks its members and carries the fleet's load in the same probe; a collector asks its own members before it acknowledges; sums go to other representatives 300 ms later, and the two representatives of a zone share what they know of other zones.

--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -83,6 +83,10 @@
     duration suspicion_time = std::chrono::seconds{4};
     /// A gap between two ticks above this counts as a pause of the own process.
     duration pause_gap = std::chrono::milliseconds{800};
+    /// A collector waits this long for the loads of its members before it acknowledges a probe.
+    duration collection_limit = std::chrono::milliseconds{100};
+    /// Time from a representative's collection to its exchange with other representatives.
+    duration exchange_delay = std::chrono::milliseconds{300};
     unsigned indirect_probes = 3;
     unsigned zones_per_period = 3;
     /// Most bytes of updates in one message.
@@ -142,10 +146,10 @@
     std::uint64_t list_version = 0;
     std::optional<load_sums> load;
     std::vector<zone_load> zone_loads;
+    /// Load of the fleet, from a collector to a member whose load it asks for.
     std::optional<load_sums> fleet_load;
     std::uint32_t table_digest = 0;
     std::vector<zone_hash> zone_digests;
-    bool load_wanted = false;
     bool reply_wanted = false;
 };
 
@@ -240,6 +244,12 @@
     time_point last_tick{};
     time_point next_probe{};
     time_point next_revival{};
+    time_point next_collection{};
+    time_point next_exchange{};
+    /// The collector's probe whose acknowledgement waits for the loads of `awaited`.
+    std::optional<incoming_message> held_probe;
+    time_point held_until{};
+    std::vector<std::string> awaited;
     time_point next_sync{};
     std::map<std::uint32_t, std::uint32_t> zone_hashes;
 };
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -55,12 +55,12 @@
     }
     if (is_fellow_representative(state, to.identity.id)) {
         message.load = detail::collected_load(state, now);
+        message.zone_loads = detail::zone_loads_for(state, to.zone, now);
         return;
     }
     const auto ranked = detail::ranked_members(state, state.self.zone);
-    if (detail::collector_of(ranked, state.self.identity.id) == to.identity.id) {
-        message.load = detail::collected_load(state, now);
-        message.load_wanted = true;
+    if (detail::collector_of(ranked, to.identity.id) == state.self.identity.id) {
+        message.fleet_load = detail::known_fleet_load(state, now);
     }
 }
 
@@ -223,16 +223,24 @@
     return next;
 }
 
+auto members_reporting_to_self(const membership_state& state) -> std::vector<std::string>
+{
+    auto ranked = detail::ranked_members(state, state.self.zone);
+    const auto all = ranked;
+    std::erase_if(ranked, [&](const std::string& id) {
+        return detail::collector_of(all, id) != state.self.identity.id;
+    });
+    return ranked;
+}
+
 auto zone_targets(membership_state& state, std::mt19937_64& random) -> std::set<std::string>
 {
     auto targets = std::set<std::string>{};
     targets.insert(next_in_order(state.probe_order, detail::zone_peers(state), random));
     const auto& self = state.self.identity.id;
-    const auto ranked = detail::ranked_members(state, state.self.zone);
-    targets.insert(detail::collector_of(ranked, self));
-    // one of the two representatives asks, the other's load comes with the acknowledgement
-    if (ranked.size() > 1 && ranked[0] == self) {
-        targets.insert(ranked[1]);
+    if (detail::is_representative(state)) {
+        const auto reporting = members_reporting_to_self(state);
+        targets.insert(reporting.begin(), reporting.end());
     }
     targets.erase("");
     targets.erase(self);
@@ -280,15 +288,29 @@
     for (const auto& id : zone_targets(state, random)) {
         send_probe(state, id, now, step);
     }
-    if (detail::is_representative(state)) {
-        probe_zones(state, now, random, step);
-    }
+    state.next_exchange = now + state.settings.exchange_delay;
     if (now >= state.next_revival) {
         state.next_revival = now + state.settings.revive_period;
         probe_dead(state, now, random, step);
     }
 }
 
+/// Exchanges sums with representatives, after the collected loads have arrived.
+auto exchange_sums(membership_state& state, time_point now, std::mt19937_64& random,
+                   membership_step& step) -> void
+{
+    state.next_exchange = time_point::max();
+    if (!detail::is_representative(state)) {
+        return;
+    }
+    // one of the two representatives asks, the other's load comes with the acknowledgement
+    const auto chosen = representatives(state, state.self.zone);
+    if (chosen.size() > 1 && chosen.front() == state.self.identity.id) {
+        send_probe(state, chosen.back(), now, step);
+    }
+    probe_zones(state, now, random, step);
+}
+
 /// Moves all deadlines by the time the process was paused: acknowledgements that arrived meanwhile
 /// have not been read yet.
 auto shift_deadlines(membership_state& state, duration pause) -> void
@@ -349,13 +371,13 @@
     }
     auto ack = basic_gossip(state, gossip_kind::probe_ack, *from);
     ack.seq = incoming.message.seq;
-    if (is_fellow_representative(state, incoming.from.id)) {
+    if (incoming.message.fleet_load || is_fellow_representative(state, incoming.from.id)) {
         ack.load = detail::collected_load(state, now);
     }
-    if (incoming.message.load_wanted) {
-        ack.fleet_load = detail::known_fleet_load(state, now);
+    if (is_fellow_representative(state, incoming.from.id)) {
+        ack.zone_loads = detail::zone_loads_for(state, from->zone, now);
     }
-    if (!incoming.message.zone_loads.empty() && detail::is_representative(state)) {
+    else if (!incoming.message.zone_loads.empty() && detail::is_representative(state)) {
         ack.zone_loads = detail::zone_loads_for(state, from->zone, now);
     }
     if (incoming.message.table_digest != ack.table_digest && now >= state.next_sync) {
@@ -364,6 +386,37 @@
     send(step, *from, std::move(ack));
 }
 
+/// Acknowledges the collector's probe that waited for loads.
+auto answer_held_probe(membership_state& state, time_point now, membership_step& step) -> void
+{
+    if (state.held_probe) {
+        answer_probe(state, *state.held_probe, now, step);
+        state.held_probe.reset();
+        state.awaited.clear();
+    }
+}
+
+/// Acknowledges a probe. A member that collects loads itself first asks its own members, so that
+/// neither direction waits for a period at every hop.
+auto handle_probe(membership_state& state, const incoming_message& incoming, time_point now,
+                  membership_step& step) -> void
+{
+    const auto reporting = members_reporting_to_self(state);
+    const auto asked = incoming.message.fleet_load && now >= state.next_collection;
+    if (!asked || reporting.empty()) {
+        answer_probe(state, incoming, now, step);
+        return;
+    }
+    answer_held_probe(state, now, step);
+    state.next_collection = now + state.settings.probe_period / 2;
+    state.held_probe = incoming;
+    state.held_until = now + state.settings.collection_limit;
+    state.awaited = reporting;
+    for (const auto& id : reporting) {
+        send_probe(state, id, now, step);
+    }
+}
+
 auto handle_ack(membership_state& state, const incoming_message& incoming, membership_step& step)
     -> void
 {
@@ -411,10 +464,14 @@
     const auto& message = incoming.message;
     switch (message.kind) {
     case gossip_kind::probe:
-        answer_probe(state, incoming, now, step);
+        handle_probe(state, incoming, now, step);
         return;
     case gossip_kind::probe_ack:
         handle_ack(state, incoming, step);
+        std::erase(state.awaited, incoming.from.id);
+        if (state.awaited.empty()) {
+            answer_held_probe(state, now, step);
+        }
         if (!message.zone_digests.empty() && now >= state.next_sync) {
             state.next_sync = now + state.settings.sync_pause;
             send_sync(state, incoming, true, random, step);
@@ -499,6 +556,12 @@
     }
     check_probes(state, now, random, step);
     check_suspicions(state, now, step);
+    if (now >= state.held_until) {
+        answer_held_probe(state, now, step);
+    }
+    if (now >= state.next_exchange) {
+        exchange_sums(state, now, random, step);
+    }
     if (now >= state.next_probe) {
         state.next_probe = std::max(state.next_probe + state.settings.probe_period,
                                     now + state.settings.probe_period / 2);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -156,7 +156,6 @@
         digest->set_zone(zone.zone);
         digest->set_digest(zone.hash);
     }
-    gossip.set_load_wanted(message.load_wanted);
 }
 
 template <typename Updates>
@@ -208,7 +207,6 @@
     message.config_digest = gossip.config_digest();
     message.list_version = gossip.list_version();
     message.table_digest = gossip.table_digest();
-    message.load_wanted = gossip.load_wanted();
     for (const auto& digest : gossip.zone_digests()) {
         message.zone_digests.push_back({digest.zone(), digest.digest()});
     }
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -249,7 +249,6 @@
     message.load = load_sums{{{1, 2, 3}, {4, 5, 6}}, time_point{8s}};
     message.zone_loads.push_back({12, *message.load});
     message.zone_digests.push_back({1, 2});
-    message.load_wanted = true;
     auto envelope = to_wire(message, time_point{10s});
     CHECK(!from_wire(envelope, time_point{20s}));
     set_sender(envelope, {"a", 1, 2});
