--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -13,6 +13,7 @@
 // traffic between zones
 constexpr std::size_t largest_flat_zone = 8;
 constexpr std::size_t collectors_per_zone = 4;
+constexpr std::size_t zones_per_relayed = 4;
 
 auto is_fresh(const membership_state& state, const load_sums& sums, time_point now) -> bool
 {
@@ -142,7 +143,10 @@
     std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) {
         return left.sums.measured > right.sums.measured;
     });
-    loads.resize(std::min<std::size_t>(loads.size(), state.settings.relayed_zones));
+    // with few zones every sum arrives from its own zone often enough
+    const auto relayed = std::min<std::size_t>(state.settings.relayed_zones,
+                                               state.zone_loads.size() / zones_per_relayed);
+    loads.resize(std::min(loads.size(), relayed));
     loads.insert(loads.begin(), {name_key(state.self.zone), own_zone_load(state, now)});
     return loads;
 }
