--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -143,11 +143,17 @@
     std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) {
         return left.sums.measured > right.sums.measured;
     });
+    // the own zone's other representative learns the zone's load from the two collected parts
+    const auto fellow = zone == state.self.zone;
     // with few zones every sum arrives from its own zone often enough
-    const auto relayed = std::min<std::size_t>(state.settings.relayed_zones,
-                                               state.zone_loads.size() / zones_per_relayed);
-    loads.resize(std::min(loads.size(), relayed));
-    loads.insert(loads.begin(), {name_key(state.self.zone), own_zone_load(state, now)});
+    const auto relayed = fellow
+                             ? state.settings.relayed_zones
+                             : std::min<std::size_t>(state.settings.relayed_zones,
+                                                     state.zone_loads.size() / zones_per_relayed);
+    loads.resize(std::min<std::size_t>(loads.size(), relayed));
+    if (!fellow) {
+        loads.insert(loads.begin(), {name_key(state.self.zone), own_zone_load(state, now)});
+    }
     return loads;
 }
 
