--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,7 +1,6 @@
 #include "cyclamenpost/membership.hpp"
 
 #include <algorithm>
-#include <set>
 
 #include "membership_detail.hpp"
 
@@ -233,18 +232,17 @@
     return ranked;
 }
 
-auto zone_targets(membership_state& state, std::mt19937_64& random) -> std::set<std::string>
+/// Members of the own zone to probe in this period: those that report here, or the next at random.
+/// A representative that collects leaves the random probes to the many others.
+auto zone_targets(membership_state& state, std::mt19937_64& random) -> std::vector<std::string>
 {
-    auto targets = std::set<std::string>{};
-    targets.insert(next_in_order(state.probe_order, detail::zone_peers(state), random));
-    const auto& self = state.self.identity.id;
     if (detail::is_representative(state)) {
-        const auto reporting = members_reporting_to_self(state);
-        targets.insert(reporting.begin(), reporting.end());
+        auto reporting = members_reporting_to_self(state);
+        if (!reporting.empty()) {
+            return reporting;
+        }
     }
-    targets.erase("");
-    targets.erase(self);
-    return targets;
+    return {next_in_order(state.probe_order, detail::zone_peers(state), random)};
 }
 
 auto probe_zones(membership_state& state, time_point now, std::mt19937_64& random,
