--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -33,36 +33,6 @@
     return message;
 }
 
-/// Whether this instance and the given one represent the own zone.
-auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool
-{
-    const auto chosen = representatives(state, state.self.zone);
-    const auto has = [&](const std::string& member) {
-        return std::find(chosen.begin(), chosen.end(), member) != chosen.end();
-    };
-    return has(state.self.identity.id) && has(id);
-}
-
-auto add_loads(membership_state& state, gossip_message& message, const member_record& to,
-               time_point now) -> void
-{
-    if (to.zone != state.self.zone) {
-        if (detail::is_representative(state)) {
-            message.zone_loads = detail::zone_loads_for(state, to.zone, now);
-        }
-        return;
-    }
-    if (is_fellow_representative(state, to.identity.id)) {
-        message.load = detail::collected_load(state, now);
-        message.zone_loads = detail::zone_loads_for(state, to.zone, now);
-        return;
-    }
-    const auto ranked = detail::ranked_members(state, state.self.zone);
-    if (detail::collector_of(ranked, to.identity.id) == state.self.identity.id) {
-        message.fleet_load = detail::known_fleet_load(state, now);
-    }
-}
-
 auto send(membership_step& step, const member_record& to, gossip_message message) -> void
 {
     step.messages.push_back({to.identity.id, to.bus, to.zone, std::move(message)});
@@ -76,7 +46,7 @@
         return;
     }
     auto message = basic_gossip(state, gossip_kind::probe, *to);
-    add_loads(state, message, *to, now);
+    detail::add_loads(state, message, *to, now);
     message.seq = state.next_seq++;
     pending.target = id;
     pending.deadline = now + timeout_of(state);
@@ -222,22 +192,12 @@
     return next;
 }
 
-auto members_reporting_to_self(const membership_state& state) -> std::vector<std::string>
-{
-    auto ranked = detail::ranked_members(state, state.self.zone);
-    const auto all = ranked;
-    std::erase_if(ranked, [&](const std::string& id) {
-        return detail::collector_of(all, id) != state.self.identity.id;
-    });
-    return ranked;
-}
-
 /// Members of the own zone to probe in this period: those that report here, or the next at random.
 /// A representative that collects leaves the random probes to the many others.
 auto zone_targets(membership_state& state, std::mt19937_64& random) -> std::vector<std::string>
 {
     if (detail::is_representative(state)) {
-        auto reporting = members_reporting_to_self(state);
+        auto reporting = detail::members_reporting_to_self(state);
         if (!reporting.empty()) {
             return reporting;
         }
@@ -369,13 +329,12 @@
     }
     auto ack = basic_gossip(state, gossip_kind::probe_ack, *from);
     ack.seq = incoming.message.seq;
-    if (incoming.message.fleet_load || is_fellow_representative(state, incoming.from.id)) {
+    const auto fellow = detail::is_fellow_representative(state, incoming.from.id);
+    const auto across = !incoming.message.zone_loads.empty() && detail::is_representative(state);
+    if (fellow || incoming.message.fleet_load) {
         ack.load = detail::collected_load(state, now);
     }
-    if (is_fellow_representative(state, incoming.from.id)) {
-        ack.zone_loads = detail::zone_loads_for(state, from->zone, now);
-    }
-    else if (!incoming.message.zone_loads.empty() && detail::is_representative(state)) {
+    if (fellow || across) {
         ack.zone_loads = detail::zone_loads_for(state, from->zone, now);
     }
     if (incoming.message.table_digest != ack.table_digest && now >= state.next_sync) {
@@ -399,7 +358,7 @@
 auto handle_probe(membership_state& state, const incoming_message& incoming, time_point now,
                   membership_step& step) -> void
 {
-    const auto reporting = members_reporting_to_self(state);
+    const auto reporting = detail::members_reporting_to_self(state);
     const auto asked = incoming.message.fleet_load && now >= state.next_collection;
     if (!asked || reporting.empty()) {
         answer_probe(state, incoming, now, step);
--- a/src/membership_detail.hpp
+++ b/src/membership_detail.hpp
@@ -71,6 +71,16 @@
 auto zone_loads_for(const membership_state& state, std::string_view zone, time_point now)
     -> std::vector<zone_load>;
 
+/// Whether this instance and the given one represent the own zone.
+auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool;
+
+/// Members whose load this instance collects.
+auto members_reporting_to_self(const membership_state& state) -> std::vector<std::string>;
+
+/// Adds the loads that a probe to the given member carries.
+auto add_loads(const membership_state& state, gossip_message& message, const member_record& to,
+               time_point now) -> void;
+
 /// Takes over the load parts of a message.
 auto take_loads(membership_state& state, const incoming_message& incoming) -> void;
 
--- a/src/membership_load.cpp
+++ b/src/membership_load.cpp
@@ -175,6 +175,45 @@
     }
 }
 
+auto is_fellow_representative(const membership_state& state, const std::string& id) -> bool
+{
+    const auto chosen = representatives(state, state.self.zone);
+    const auto has = [&](const std::string& member) {
+        return std::find(chosen.begin(), chosen.end(), member) != chosen.end();
+    };
+    return has(state.self.identity.id) && has(id);
+}
+
+auto add_loads(const membership_state& state, gossip_message& message, const member_record& to,
+               time_point now) -> void
+{
+    if (to.zone != state.self.zone) {
+        if (is_representative(state)) {
+            message.zone_loads = zone_loads_for(state, to.zone, now);
+        }
+        return;
+    }
+    if (is_fellow_representative(state, to.identity.id)) {
+        message.load = collected_load(state, now);
+        message.zone_loads = zone_loads_for(state, to.zone, now);
+        return;
+    }
+    const auto ranked = ranked_members(state, state.self.zone);
+    if (collector_of(ranked, to.identity.id) == state.self.identity.id) {
+        message.fleet_load = known_fleet_load(state, now);
+    }
+}
+
+auto members_reporting_to_self(const membership_state& state) -> std::vector<std::string>
+{
+    auto ranked = ranked_members(state, state.self.zone);
+    const auto all = ranked;
+    std::erase_if(ranked, [&](const std::string& id) {
+        return collector_of(all, id) != state.self.identity.id;
+    });
+    return ranked;
+}
+
 } // namespace detail
 
 auto representatives(const membership_state& state, std::string_view zone)
