Close idempotency records in every ending and use the own load without lag

Cause: (1) a call refused by the queue, displaced, expired or abandoned by its caller before dispatch left its key in progress, so repeats waited for ever; (2) grounds such as a leaving instance were checked before the key, so a repeat of a call that ran could be answered not run; (3) a gate bounded its engine by a mean in which its own new load was up to a second old, so a single engine's load could only grow in steps. Change: end_job closes the record (abandoned when never sent, unknown otherwise); the key is examined first; judge_owner tells a newer incarnation from an ended one; means take this instance's part as it is now.

--- a/include/cyclamenpost/gate_service.hpp
+++ b/include/cyclamenpost/gate_service.hpp
@@ -133,8 +133,11 @@
     };
     auto tick() -> void;
     auto exchange_leases(time_point now) -> void;
-    auto report_loads(time_point now) -> void;
-    auto update_means(time_point now) -> void;
+    auto report_loads() -> void;
+    auto models_of(const fleet_target& target) const -> std::vector<std::string>;
+    auto own_load(const std::string& model) const -> model_load;
+    auto current_mean(const std::string& model) const -> std::optional<fleet_model_load>;
+    auto update_mean(gate& gate, time_point now) -> void;
     auto apply_roles(time_point now) -> void;
     auto watch_targets() -> void;
     auto on_report(const target_report& report) -> void;
@@ -163,6 +166,8 @@
     // remote targets that refused a permit a moment ago
     std::unordered_map<std::string, refused_target> refused_;
     std::map<std::string, std::unordered_map<std::uint64_t, target_run>> running_;
+    // own part of the load sums in gossip, by model
+    std::map<std::string, std::uint64_t> reported_;
     std::uint64_t list_version_ = 0;
     time_point last_load_report_{};
     timer ticks_;
--- a/include/cyclamenpost/relay.hpp
+++ b/include/cyclamenpost/relay.hpp
@@ -127,12 +127,14 @@
     auto fail_chat(const job_ptr& work, refusal reason, const std::string& detail) -> void;
 
     // application calls, relay_application.cpp
+    auto call_of(const job& work) const -> call_request;
     auto begin_once(const job_ptr& work) -> bool;
+    auto proceed_once(const job_ptr& work, const call_decision& decision) -> bool;
     auto place_call(const job_ptr& work) -> void;
     auto dispatch_call(const job_ptr& work, const fleet_target& target) -> void;
     auto on_call_end(const job_ptr& work, client_response response, bool sent) -> void;
     auto complete_once(const job_ptr& work, const client_response& response) -> void;
-    auto lose_once(const job_ptr& work) -> void;
+    auto close_once(const job_ptr& work) -> void;
     auto spread_order(const std::optional<order_notice>& notice) -> void;
     auto answer_waiters(std::uint64_t key_hash,
                         const std::shared_ptr<const recorded_answer>& answer) -> void;
--- a/src/gate_service.cpp
+++ b/src/gate_service.cpp
@@ -202,6 +202,7 @@
         return refused;
     }
     on_tick(found->second, now);
+    update_mean(found->second, now);
     auto decision = request_permit(found->second, request, now);
     log_permit(target, request.request_id, std::string(request.holder), request.cost, decision,
                found->second);
@@ -538,60 +539,76 @@
     exchange_leases(now);
     if (now - last_load_report_ >= load_report_period) {
         last_load_report_ = now;
-        report_loads(now);
-        update_means(now);
+        report_loads();
         handlers_.on_capacity();
     }
 }
 
-/// Sums the loads of the engines whose gates are held here, by model.
-auto gate_service::report_loads(time_point) -> void
+auto gate_service::models_of(const fleet_target& target) const -> std::vector<std::string>
 {
-    const auto& config = *config_.text().config;
-    auto sums = std::map<std::uint32_t, model_load>{};
+    const auto* service = service_by_name(*config_.text().config, target.target.service);
+    const auto whole_service = target.target.models.empty() && service != nullptr;
+    return whole_service ? service->models : target.target.models;
+}
+
+/// Load of a model on the engines whose gates are held here.
+auto gate_service::own_load(const std::string& model) const -> model_load
+{
+    auto sum = model_load{};
+    sum.model = name_key(model);
     for (const auto& [name, gate] : gates_) {
-        if (gate.role != gate_role::primary) {
-            continue;
-        }
-        const auto& target = targets_.at(name).target;
-        const auto* service = service_by_name(config, target.service);
-        const auto& models =
-            target.models.empty() && service != nullptr ? service->models : target.models;
-        for (const auto& model : models) {
-            auto& sum = sums[name_key(model)];
-            sum.model = name_key(model);
+        const auto models = models_of(targets_.at(name));
+        const auto offers = std::find(models.begin(), models.end(), model) != models.end();
+        if (gate.role == gate_role::primary && offers) {
             sum.engines += 1;
             sum.cost += static_cast<std::uint64_t>(gate_load(gate));
         }
     }
+    return sum;
+}
+
+auto gate_service::report_loads() -> void
+{
+    reported_.clear();
     auto loads = std::vector<model_load>{};
-    for (const auto& [key, sum] : sums) {
-        loads.push_back(sum);
+    for (const auto& service : config_.text().config->services) {
+        for (const auto& model : service.models) {
+            const auto load = own_load(model);
+            if (load.engines > 0) {
+                loads.push_back(load);
+                reported_[model] = load.cost;
+            }
+        }
     }
     cluster_.set_load(std::move(loads));
 }
 
-auto gate_service::update_means(time_point now) -> void
+/// Mean load of a model's engines: the gossiped sums, with this instance's part as it is now.
+auto gate_service::current_mean(const std::string& model) const -> std::optional<fleet_model_load>
 {
-    const auto& config = *config_.text().config;
-    auto own_load = 0.0;
-    auto own_engines = 0.0;
-    for (const auto& [name, gate] : gates_) {
-        own_load += gate_load(gate);
-        own_engines += 1;
+    auto fleet = fleet_mean(cluster_.members(), model, monotonic_now());
+    if (!fleet || fleet->engines == 0) {
+        return std::nullopt;
     }
-    const auto own_mean = own_engines > 0 ? own_load / own_engines : 0;
-    for (auto& [name, gate] : gates_) {
-        const auto& target = targets_.at(name).target;
-        const auto* service = service_by_name(config, target.service);
-        const auto& models =
-            target.models.empty() && service != nullptr ? service->models : target.models;
-        if (models.empty()) {
-            continue;
-        }
-        if (const auto fleet = fleet_mean(cluster_.members(), models.front(), now)) {
-            on_mean(gate, fleet->mean_cost, own_mean, now - fleet->age);
-        }
+    const auto reported = reported_.find(model);
+    if (reported != reported_.end()) {
+        const auto now = static_cast<double>(own_load(model).cost);
+        const auto change = now - static_cast<double>(reported->second);
+        fleet->mean_cost = std::max(0.0, fleet->mean_cost + change / fleet->engines);
+    }
+    return fleet;
+}
+
+auto gate_service::update_mean(gate& gate, time_point now) -> void
+{
+    const auto models = models_of(targets_.at(gate.target));
+    if (models.empty()) {
+        return;
+    }
+    const auto own = own_load(models.front());
+    const auto own_mean = own.engines > 0 ? static_cast<double>(own.cost) / own.engines : 0.0;
+    if (const auto fleet = current_mean(models.front())) {
+        on_mean(gate, fleet->mean_cost, own_mean, now - fleet->age);
     }
 }
 
@@ -645,8 +662,8 @@
 auto gate_service::mean(const std::string& model, const std::vector<engine_view>& views,
                         double cost) const -> double
 {
-    const auto fleet = fleet_mean(cluster_.members(), model, monotonic_now());
-    if (!fleet || fleet->engines == 0) {
+    const auto fleet = current_mean(model);
+    if (!fleet) {
         return mean_load(views, cost);
     }
     return fleet->mean_cost + cost / fleet->engines;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -156,7 +156,10 @@
 
 auto relay::admit(const job_ptr& work) -> void
 {
-    const auto share = organisation_or_default(*context_.config.text().config, work->organisation);
+    const auto& config = *context_.config.text().config;
+    const auto common = organisation_or_default(config, "");
+    queue_.settings.default_share = {common.weight, common.max_concurrent};
+    const auto share = organisation_or_default(config, work->organisation);
     set_share(queue_, work->organisation, {share.weight, share.max_concurrent});
     count_first_attempt(budget_, work->received);
     record(*work, "request_accepted", "");
@@ -261,6 +264,7 @@
         return;
     }
     work->retry_timer.reset();
+    close_once(work);
     if (std::exchange(work->running, false)) {
         finish_work(queue_, work->organisation);
     }
--- a/src/relay_application.cpp
+++ b/src/relay_application.cpp
@@ -51,6 +51,11 @@
     work->fingerprint =
         request_fingerprint(work->organisation, work->request.path, work->request.body);
     work->suspect = standing(suspects_, work->fingerprint, work->received);
+    // a repeat of a call that ran must never be answered "not run" for another reason
+    if (!work->repeatable &&
+        !proceed_once(work, examine_call(once_, call_of(*work), work->received))) {
+        return;
+    }
     if (const auto problem = refusal_before_start(*work, *service)) {
         refuse(work, *problem);
         return;
@@ -67,30 +72,48 @@
         return {};
     }
     const auto member = find_member(context_.cluster.members(), foreign->first);
-    if (!member || member->identity.start_ms == 0) {
-        return {};
+    auto known = std::optional<known_incarnation>{};
+    if (member && member->identity.start_ms != 0) {
+        known = known_incarnation{member->identity.incarnation,
+                                  static_cast<std::int64_t>(member->identity.start_ms),
+                                  member->state != member_state::dead};
     }
-    const auto alive =
-        member->identity.incarnation == foreign->second && member->state != member_state::dead;
-    return {alive ? owner_state::alive : owner_state::ended, member->http, member->zone};
+    const auto state = judge_owner(key, known);
+    return {state, member ? member->http : std::string{}, member ? member->zone : std::string{}};
 }
 
-/// Decides about a call that may not be repeated. Returns whether it is to run.
-auto relay::begin_once(const job_ptr& work) -> bool
+auto relay::call_of(const job& work) const -> call_request
 {
-    const auto& headers = work->request.headers;
+    const auto& headers = work.request.headers;
     auto call = call_request{};
     call.key = header_value(headers, "idempotency-key");
     call.content_hash =
-        content_hash(work->organisation, work->request.method,
-                     work->request.path + "?" + work->request.query, work->request.body);
+        content_hash(work.organisation, work.request.method,
+                     work.request.path + "?" + work.request.query, work.request.body);
     const auto number = header_value(headers, "order-number");
     if (!number.empty()) {
-        call.order_hash = order_hash(work->organisation, work->service, number);
+        call.order_hash = order_hash(work.organisation, work.service, number);
     }
     call.order_repeat = header_value(headers, "order-number-repeat") == "true";
     call.owner = owner_of(call.key);
+    return call;
+}
+
+/// Records that a call that may not be repeated begins. Returns whether it is to run.
+auto relay::begin_once(const job_ptr& work) -> bool
+{
+    const auto call = call_of(*work);
     const auto decision = begin_call(once_, call, monotonic_now());
+    work->once_open = decision.action == call_action::run;
+    if (work->once_open) {
+        spread_order(notice_of_order(once_, call.order_hash));
+    }
+    return proceed_once(work, decision);
+}
+
+/// Acts on a decision about a call that may not be repeated. Returns whether it is to run.
+auto relay::proceed_once(const job_ptr& work, const call_decision& decision) -> bool
+{
     work->key_hash = decision.key_hash;
     log_event(log_level::info, "once",
               {{"request", work->request_id},
@@ -98,7 +121,6 @@
                {"decision", std::string(name_in(call_action_names, decision.action))}});
     switch (decision.action) {
     case call_action::run:
-        spread_order(notice_of_order(once_, call.order_hash));
         return true;
     case call_action::wait:
         waiters_[decision.key_hash].push_back(work);
@@ -141,10 +163,6 @@
                {"choice", best != nullptr ? best->target.name : std::string("none")},
                {"reason", "least_calls"}});
     if (best == nullptr) {
-        if (!work->repeatable) {
-            spread_order(abandon_call(once_, work->key_hash));
-            answer_waiters(work->key_hash, nullptr);
-        }
         const auto detail = "No target of service " + work->service + " could be reached.";
         refuse(work, work->ever_sent ? make_problem_after_send(refusal::no_target, detail)
                                      : make_problem(refusal::no_target, detail, 2000));
@@ -233,13 +251,6 @@
         return;
     }
     const auto detail = "The target ended the call without a whole answer.";
-    if (!sent && !work->repeatable) {
-        spread_order(abandon_call(once_, work->key_hash));
-        answer_waiters(work->key_hash, nullptr);
-    }
-    else if (!work->repeatable) {
-        lose_once(work);
-    }
     refuse(work, work->ever_sent && (sent || work->repeatable)
                      ? make_problem_after_send(refusal::target_lost, detail)
                      : make_problem(refusal::no_target, detail, 1000));
@@ -251,14 +262,21 @@
     answer.status = response.status;
     answer.content_type = header_value(response.headers, "content-type");
     answer.body = response.body;
+    work->once_open = false;
     const auto recorded = std::make_shared<const recorded_answer>(answer);
     spread_order(complete_call(once_, work->key_hash, std::move(answer)));
     answer_waiters(work->key_hash, recorded);
 }
 
-auto relay::lose_once(const job_ptr& work) -> void
+/// Closes the record of a call that ended without a whole answer: a call that was never sent may
+/// run again, the outcome of one that was sent is unknown.
+auto relay::close_once(const job_ptr& work) -> void
 {
-    spread_order(lose_call(once_, work->key_hash));
+    if (!std::exchange(work->once_open, false)) {
+        return;
+    }
+    spread_order(work->ever_sent ? lose_call(once_, work->key_hash)
+                                 : abandon_call(once_, work->key_hash));
     answer_waiters(work->key_hash, nullptr);
 }
 
--- a/src/relay_job.hpp
+++ b/src/relay_job.hpp
@@ -29,6 +29,8 @@
     std::uint64_t fingerprint = 0;
     suspicion suspect = suspicion::none;
     std::uint64_t key_hash = 0;
+    /// Whether this job owns a record in progress in the idempotency table.
+    bool once_open = false;
 
     /// Whether the fair queue counts the job as running.
     bool running = false;
