Probe two other zones a period and relay four sums

Cause: a representative of 20 zones spent most bytes on message headers. Change: two zones instead of the design's three, four relayed sums.

--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -88,7 +88,7 @@
     /// Time from a representative's collection to its exchange with other representatives.
     duration exchange_delay = std::chrono::milliseconds{300};
     unsigned indirect_probes = 3;
-    unsigned zones_per_period = 3;
+    unsigned zones_per_period = 2;
     /// Most bytes of updates in one message.
     std::size_t update_bytes = 600;
     /// Updates are sent at most this many times log2 of the members.
@@ -103,7 +103,7 @@
     /// Loads older than this are left out of sums.
     duration load_limit = std::chrono::seconds{5};
     /// Zone sums that a representative passes on in one message besides its own.
-    unsigned relayed_zones = 3;
+    unsigned relayed_zones = 4;
     /// An instance starts at most one repair of table differences within this time.
     duration sync_pause = std::chrono::seconds{3};
     /// Most bytes of records in one repair message.
