Keep a target at its cold limit for as long as it calls itself cold

Change: the allowance rises only after the engine reports warm. The unit test that let a target warm up while it reported cold contradicted the demo's trace; it now demands the limit while cold and the same steps afterwards.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -368,7 +368,9 @@
         state.foreign_requests += 1;
     }
     erase_permit(state, request_id);
-    if (!is_cold(state) || end == permit_end::unused) {
+    // an engine that still calls itself cold can bear no more than its cold limit
+    const auto still_cold = state.reported_state == target_state::cold;
+    if (!is_cold(state) || end == permit_end::unused || still_cold) {
         return;
     }
     if (end == permit_end::failed) {
--- a/tests/unit-gate.cpp
+++ b/tests/unit-gate.cpp
@@ -118,23 +118,26 @@
     CHECK(state.state == target_state::cold);
 }
 
-TEST_CASE("a cold target warms up in steps of at least two seconds of completed sets")
+TEST_CASE("a target that calls itself cold keeps its cold limit, then warms up in steps")
 {
     auto state = ready_gate(target_state::cold);
     auto now = start + 10s;
     auto id = std::uint64_t{0};
     auto most = 0;
-    for (auto second = 0; second < 12; ++second) {
+    for (auto second = 0; second < 17; ++second) {
+        const auto reports_cold = second < 5;
         const auto before = id;
         while (ask(state, ++id, 1, now).granted) {
         }
         const auto granted = static_cast<int>(id - before - 1);
-        CHECK(granted <= std::max(1, 2 * most));
+        // an engine that took two requests while it was cold fell over in a demo run
+        CHECK(granted <= (reports_cold ? 1 : std::max(1, 2 * most)));
         most = std::max(most, granted);
         for (auto ended = before; ended <= id; ++ended) {
             release_permit(state, ended, permit_end::completed, now);
         }
-        pass_time(state, report_of(1, target_state::cold), now, now + 1s);
+        const auto reported = reports_cold ? target_state::cold : target_state::warm;
+        pass_time(state, report_of(1, reported), now, now + 1s);
         now += 1s;
     }
     CHECK(most == 10);
