--- a/include/cyclamenpost/gate_service.hpp
+++ b/include/cyclamenpost/gate_service.hpp
@@ -136,6 +136,7 @@
     auto report_loads() -> void;
     auto models_of(const fleet_target& target) const -> std::vector<std::string>;
     auto own_load(const std::string& model) const -> model_load;
+    auto serving_engines(const std::string& model) const -> std::uint32_t;
     auto current_mean(const std::string& model) const -> std::optional<fleet_model_load>;
     auto update_mean(gate& gate, time_point now) -> void;
     auto apply_roles(time_point now) -> void;
--- a/include/cyclamenpost/relay.hpp
+++ b/include/cyclamenpost/relay.hpp
@@ -44,7 +44,7 @@
 /// The request path: admits requests, places them, passes answers on, retries and refuses.
 class relay {
 public:
-    relay(relay_context context, relay_options options);
+    relay(relay_context context, const relay_options& options);
     ~relay();
     relay(const relay&) = delete;
     auto operator=(const relay&) -> relay& = delete;
@@ -132,7 +132,7 @@
     auto proceed_once(const job_ptr& work, const call_decision& decision) -> bool;
     auto place_call(const job_ptr& work) -> void;
     auto dispatch_call(const job_ptr& work, const fleet_target& target) -> void;
-    auto on_call_end(const job_ptr& work, client_response response, bool sent) -> void;
+    auto on_call_end(const job_ptr& work, const client_response& response, bool sent) -> void;
     auto complete_once(const job_ptr& work, const client_response& response) -> void;
     auto close_once(const job_ptr& work) -> void;
     auto spread_order(const std::optional<order_notice>& notice) -> void;
--- a/src/gate_service.cpp
+++ b/src/gate_service.cpp
@@ -588,19 +588,37 @@
     cluster_.set_load(std::move(loads));
 }
 
-/// Mean load of a model's engines: the gossiped sums, with this instance's part as it is now.
+/// Engines in force that may take work for a model.
+auto gate_service::serving_engines(const std::string& model) const -> std::uint32_t
+{
+    const auto& config = *config_.text().config;
+    auto count = std::uint32_t{0};
+    for (const auto& [name, target] : targets_) {
+        const auto models = models_of(target);
+        const auto offers = std::find(models.begin(), models.end(), model) != models.end();
+        const auto usable =
+            target.state == listed_state::live && !zone_is_out(config, target.target.zone);
+        count += offers && usable ? 1 : 0;
+    }
+    return count;
+}
+
+/// Mean load of a model's engines: the gossiped sums, with this instance's part as it is now. The
+/// sum is divided by all engines in force, because an engine whose gate has just left or died is
+/// missing from the sums and would otherwise raise the mean.
 auto gate_service::current_mean(const std::string& model) const -> std::optional<fleet_model_load>
 {
     auto fleet = fleet_mean(cluster_.members(), model, monotonic_now());
     if (!fleet || fleet->engines == 0) {
         return std::nullopt;
     }
+    auto total = fleet->mean_cost * fleet->engines;
     const auto reported = reported_.find(model);
     if (reported != reported_.end()) {
-        const auto now = static_cast<double>(own_load(model).cost);
-        const auto change = now - static_cast<double>(reported->second);
-        fleet->mean_cost = std::max(0.0, fleet->mean_cost + change / fleet->engines);
+        total += static_cast<double>(own_load(model).cost) - static_cast<double>(reported->second);
     }
+    fleet->engines = std::max(fleet->engines, serving_engines(model));
+    fleet->mean_cost = std::max(0.0, total / fleet->engines);
     return fleet;
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-relay::relay(relay_context context, relay_options options)
+relay::relay(relay_context context, const relay_options& options)
     : context_(context),
-      options_(std::move(options)),
+      options_(options),
       chats_(options_.chat_entries),
       queue_(make_fair_queue(options_.queue)),
       once_(make_idempotency_table(context_.cluster.self().identity.id,
--- a/src/relay_application.cpp
+++ b/src/relay_application.cpp
@@ -212,13 +212,13 @@
         response->end = end;
         const auto sent = work->call->sent();
         calls_at_target_[work->target] -= 1;
-        on_call_end(work, std::move(*response), sent);
+        on_call_end(work, *response, sent);
     };
     calls_at_target_[work->target] += 1;
     work->call = start_call(context_.loop, std::move(request), std::move(handlers));
 }
 
-auto relay::on_call_end(const job_ptr& work, client_response response, bool sent) -> void
+auto relay::on_call_end(const job_ptr& work, const client_response& response, bool sent) -> void
 {
     if (work->ended) {
         return;
--- /dev/null
+++ b/tests/scenarios/long/crashing_request.lua
@@ -0,0 +1,9 @@
+-- A chat whose content crashes every engine is sent again and again by its caller. Two engines die
+-- at most, and other chats are answered.
+fleet(6, 6, 3)
+for number = 1, 6 do
+    target("engine-" .. number, "crash_on", "caller-1-7 ")
+end
+callers(40, 10, "unknown", "cut", "not_run")
+wait_callers()
+check("whole_answer", "once_per_key")
--- /dev/null
+++ b/tests/scenarios/long/service_down_while_zone_leaves.lua
@@ -0,0 +1,13 @@
+-- The configuration service fails right after a zone was taken out; an instance dies as well.
+fleet(6, 6, 3)
+callers(60, 30, "unknown", "cut")
+pass(2)
+zone_out("a")
+service("down")
+pass(1)
+kill("i2")
+pass(4)
+service("normal")
+zone_in("a")
+wait_callers()
+check("whole_answer", "zone_out", "once_per_key", "config_versions")
