--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -118,7 +118,7 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(running.server.port()));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(half_open, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    REQUIRE(connect(half_open, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
     CHECK(running.exchange({}).status == 200);
     const auto partial = std::string_view("GET /slow HTTP/1.1\r\nHost: x\r\n");
     REQUIRE(send(half_open, partial.data(), partial.size(), 0) > 0);
