Confirm the instance list through the zone's peers and split the gate service by topic

Cause: cold targets get no work without a confirmed list for 60 s, and only a reachable platform confirmed it; a long outage would have kept every restarted target out of service. An instance that does not watch also counted its first read as confirmation for ever. Conclusion: an outage of the platform no longer withholds work from restarted targets.

--- a/fakes/scenario.cpp
+++ b/fakes/scenario.cpp
@@ -48,6 +48,7 @@
     history_writer history;
     std::vector<pid_t> callers;
     int next_caller = 0;
+    int reported = 0;
 };
 
 /// A step of a scenario that did not go as it must. Becomes an error of the script.
@@ -317,6 +318,18 @@
     run.callers.push_back(launch(run, name, command));
 }
 
+/// Prints the table of every caller that has ended since the last call.
+auto print_reports(scenario& run) -> void
+{
+    for (; run.reported < run.next_caller; ++run.reported) {
+        const auto name = "caller-" + std::to_string(run.reported + 1);
+        auto log = std::ifstream{run.work / (name + ".log")};
+        for (auto line = std::string{}; std::getline(log, line);) {
+            std::cout << "  " << name << " " << line << "\n";
+        }
+    }
+}
+
 auto wait_callers(scenario& run) -> void
 {
     auto failed = false;
@@ -326,6 +339,7 @@
         failed = failed || status != 0;
     }
     run.callers.clear();
+    print_reports(run);
     if (failed) {
         throw step_failure(
             "a caller saw a result that the scenario does not allow; see the caller logs");
--- a/include/cyclamenpost/config_service.hpp
+++ b/include/cyclamenpost/config_service.hpp
@@ -75,6 +75,7 @@
     auto send_fetch(published_kind kind) -> void;
     auto history_of(published_kind kind) const -> const text_history&;
     auto ask_peers() -> void;
+    auto list_is_confirmed() const -> bool;
     auto update_watching() -> void;
 
     event_loop& loop_;
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -1,5 +1,6 @@
 #include "cyclamenpost/config_service.hpp"
 
+#include <algorithm>
 #include <set>
 
 #include "cyclamenpost/log.hpp"
@@ -86,7 +87,7 @@
         if (!ready()) {
             ask_peers();
         }
-        if (platform_->reachable() && list_.list) {
+        if (list_.list && list_is_confirmed()) {
             handlers_.on_list_confirmed();
         }
     });
@@ -387,6 +388,24 @@
     }
 }
 
+/// Whether the list in force can be taken as current: this instance watches the platform, or more
+/// than half of the zone's listed instances answer, of which the watchers would have passed on a
+/// newer list. The second rule keeps cold targets in service through a long outage of the platform
+/// and fails for an instance that is cut off from its zone.
+auto config_service::list_is_confirmed() const -> bool
+{
+    const auto& self = cluster_.self();
+    const auto alive = live_ids_of_zone(cluster_.members(), self.zone);
+    if (platform_->reachable() && is_watcher(self.identity.id, alive)) {
+        return true;
+    }
+    const auto listed = instances_of_zone(*list_.list, self.zone);
+    const auto answering = std::count_if(listed.begin(), listed.end(), [&](const std::string& id) {
+        return std::find(alive.begin(), alive.end(), id) != alive.end();
+    });
+    return static_cast<std::size_t>(answering) * 2 > listed.size();
+}
+
 auto config_service::update_watching() -> void
 {
     const auto& self = cluster_.self();
--- /dev/null
+++ b/src/gate_service_load.cpp
@@ -0,0 +1,93 @@
+#include "cyclamenpost/gate_service.hpp"
+
+#include <algorithm>
+
+namespace cyclamenpost {
+
+auto gate_service::models_of(const fleet_target& target) const -> std::vector<std::string>
+{
+    const auto* service = service_by_name(*config_.text().config, target.target.service);
+    const auto whole_service = target.target.models.empty() && service != nullptr;
+    return whole_service ? service->models : target.target.models;
+}
+
+/// Load of a model on the engines whose gates are held here.
+auto gate_service::own_load(const std::string& model) const -> model_load
+{
+    auto sum = model_load{};
+    sum.model = name_key(model);
+    for (const auto& [name, gate] : gates_) {
+        const auto models = models_of(targets_.at(name));
+        const auto offers = std::find(models.begin(), models.end(), model) != models.end();
+        if (gate.role == gate_role::primary && offers) {
+            sum.engines += 1;
+            sum.cost += static_cast<std::uint64_t>(gate_load(gate));
+        }
+    }
+    return sum;
+}
+
+auto gate_service::report_loads() -> void
+{
+    reported_.clear();
+    auto loads = std::vector<model_load>{};
+    for (const auto& service : config_.text().config->services) {
+        for (const auto& model : service.models) {
+            const auto load = own_load(model);
+            if (load.engines > 0) {
+                loads.push_back(load);
+                reported_[model] = load.cost;
+            }
+        }
+    }
+    cluster_.set_load(std::move(loads));
+}
+
+/// Engines in force that may take work for a model.
+auto gate_service::serving_engines(const std::string& model) const -> std::uint32_t
+{
+    const auto& config = *config_.text().config;
+    auto count = std::uint32_t{0};
+    for (const auto& [name, target] : targets_) {
+        const auto models = models_of(target);
+        const auto offers = std::find(models.begin(), models.end(), model) != models.end();
+        const auto usable =
+            target.state == listed_state::live && !zone_is_out(config, target.target.zone);
+        count += offers && usable ? 1 : 0;
+    }
+    return count;
+}
+
+/// Mean load of a model's engines: the gossiped sums, with this instance's part as it is now. The
+/// sum is divided by all engines in force, because an engine whose gate has just left or died is
+/// missing from the sums and would otherwise raise the mean.
+auto gate_service::current_mean(const std::string& model) const -> std::optional<fleet_model_load>
+{
+    auto fleet = fleet_mean(cluster_.members(), model, monotonic_now());
+    if (!fleet || fleet->engines == 0) {
+        return std::nullopt;
+    }
+    auto total = fleet->mean_cost * fleet->engines;
+    const auto reported = reported_.find(model);
+    if (reported != reported_.end()) {
+        total += static_cast<double>(own_load(model).cost) - static_cast<double>(reported->second);
+    }
+    fleet->engines = std::max(fleet->engines, serving_engines(model));
+    fleet->mean_cost = std::max(0.0, total / fleet->engines);
+    return fleet;
+}
+
+auto gate_service::update_mean(gate& gate, time_point now) -> void
+{
+    const auto models = models_of(targets_.at(gate.target));
+    if (models.empty()) {
+        return;
+    }
+    const auto own = own_load(models.front());
+    const auto own_mean = own.engines > 0 ? static_cast<double>(own.cost) / own.engines : 0.0;
+    if (const auto fleet = current_mean(models.front())) {
+        on_mean(gate, fleet->mean_cost, own_mean, now - fleet->age);
+    }
+}
+
+} // namespace cyclamenpost
