Send loads by catalogue position on the real bus and fix the slow sender test

Change: the models of the operator text are the catalogue; the test's socket connects before it goes on.

--- a/include/cyclamenpost/cluster_node.hpp
+++ b/include/cyclamenpost/cluster_node.hpp
@@ -50,6 +50,10 @@
     /// Sets the configuration version that probes carry.
     auto set_config(std::uint64_t version, std::uint64_t digest) -> void;
 
+    /// Sets the models whose loads travel by their position instead of a key. Instances use the
+    /// models of the operator text in force.
+    auto set_models(const std::vector<std::string>& models) -> void;
+
     /// The member table.
     auto members() const -> const membership_state&;
 
@@ -70,6 +74,7 @@
     membership_state state_;
     std::mt19937_64 random_;
     cluster_handlers handlers_;
+    model_catalogue catalogue_;
     timer ticks_;
 };
 
--- a/src/cluster_node.cpp
+++ b/src/cluster_node.cpp
@@ -84,6 +84,11 @@
     set_config_version(state_, version, digest);
 }
 
+auto cluster_node::set_models(const std::vector<std::string>& models) -> void
+{
+    catalogue_ = make_catalogue(models);
+}
+
 auto cluster_node::members() const -> const membership_state&
 {
     return state_;
@@ -103,7 +108,8 @@
 {
     const auto now = monotonic_now();
     for (const auto& outgoing : step.messages) {
-        bus_.send({outgoing.to, outgoing.address, outgoing.zone}, to_wire(outgoing.message, now));
+        bus_.send({outgoing.to, outgoing.address, outgoing.zone},
+                  to_wire(outgoing.message, now, catalogue_));
     }
     for (const auto& change : step.changes) {
         log_change(change);
@@ -122,7 +128,7 @@
 auto cluster_node::receive(const wire::envelope& message) -> void
 {
     const auto now = monotonic_now();
-    if (const auto incoming = from_wire(message, now)) {
+    if (const auto incoming = from_wire(message, now, catalogue_)) {
         perform(on_gossip(state_, *incoming, now, random_));
         return;
     }
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -155,6 +155,11 @@
     if (kind == published_kind::operator_text) {
         const auto id = in_force(text_);
         cluster_.set_config(id.version, id.digest);
+        auto models = std::vector<std::string>{};
+        for (const auto& service : text_.config->services) {
+            models.insert(models.end(), service.models.begin(), service.models.end());
+        }
+        cluster_.set_models(models);
     }
     else {
         auto records = std::vector<member_record>{};
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -113,7 +113,7 @@
     auto running = running_server{
         [](const http_request&, const auto& exchange) { exchange->respond(200, {}, "ok"); },
         limits};
-    const auto half_open = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const auto half_open = socket(AF_INET, SOCK_STREAM, 0);
     auto address = sockaddr_in{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(running.server.port()));
