--- a/fakes/scenario.cpp
+++ b/fakes/scenario.cpp
@@ -63,9 +63,13 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto size = socklen_t{sizeof address};
-    bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    const auto bound_to =
+        bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    const auto named = getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     close(descriptor);
+    if (bound_to != 0 || named != 0) {
+        throw step_failure("no free port");
+    }
     return ntohs(address.sin_port);
 }
 
