Release the sockets of a failed bus start before its context

Cause: a daemon started while its bus port was still in use hung for ever and ignored SIGTERM (two were found so, one with SIGTERM pending and its main thread in zmq_ctx_term). The restart by the supervisor replaced the ZeroMQ context while sockets of the first start were open. Change: sockets are closed first; a stop before run is no longer forgotten. Measured: the new test hangs without the change and passes with it.

--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -481,6 +481,10 @@
     if (const auto* faults = std::getenv("CYCLAMENPOST_FAULT_LINKS")) {
         own.faults = parse_link_faults(faults);
     }
+    // a context can't end while it has sockets, so those of an earlier start go first
+    own.connections.clear();
+    own.listener.reset();
+    own.authenticator.reset();
     own.context.reset(zmq_ctx_new());
     own.authenticator.reset(zmq_socket(own.context.get(), ZMQ_REP));
     own.listener.reset(zmq_socket(own.context.get(), ZMQ_PULL));
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -182,7 +182,6 @@
 
 auto event_loop::run() -> void
 {
-    state_->stopping = false;
     while (!state_->stopping && lws_service(state_->context, 0) >= 0) {
     }
 }
--- a/tests/unit-bus.cpp
+++ b/tests/unit-bus.cpp
@@ -244,3 +244,29 @@
                   [&](const error& failure) { seen = failure; }));
     CHECK(seen.id == error_id::bus_failed);
 }
+
+TEST_CASE("a bus whose address is taken fails to start and starts once the address is free")
+{
+    // the second start once waited for ever for the sockets of the first
+    auto loop = event_loop{};
+    const auto keys = make_keys();
+    auto holder = std::make_unique<member>(loop, "first", keys);
+    auto settings = bus_settings{};
+    settings.instance = "second";
+    settings.keys = keys;
+    settings.listen_address = holder->address("first").address;
+    auto late = bus{};
+    auto failures = 0;
+    const auto start = [&] {
+        return try_or([&] { return late.start(loop, settings); },
+                      [&](const error& failure) {
+                          ++failures;
+                          CHECK(failure.id == error_id::bus_failed);
+                      });
+    };
+    CHECK(!start());
+    CHECK(!start());
+    holder.reset();
+    CHECK(loop.run_until([&] { return start(); }, 10s));
+    CHECK(failures >= 2);
+}
