End broken streams in every case, use cache events as hints, resume after a lost host

Cause: scenario target_leaves_and_flaps showed a stream that stayed open for 20 s: its retry expired in the queue, and a refusal was written to an answer that had already begun, which the HTTP layer ignores. A retry was also bounded by the time since the request's arrival, so a long stream could not wait for another engine at all. A frozen engine or lost host resets no connection, so its streams waited for ever. Cache reports were read and thrown away. Change: a refusal of a started stream is an error event that ends it; a retry begins a new wait; when the gate loses a target, its streams are cancelled and resumed elsewhere; cache_index holds reported prefixes for placement.

--- a/include/cyclamenpost/relay.hpp
+++ b/include/cyclamenpost/relay.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cyclamenpost/cache_index.hpp"
 #include "cyclamenpost/chat_table.hpp"
 #include "cyclamenpost/gate_service.hpp"
 #include "cyclamenpost/history.hpp"
@@ -143,6 +144,7 @@
     relay_context context_;
     relay_options options_;
     chat_table chats_;
+    cache_index cache_;
     fair_queue queue_;
     retry_budget budget_;
     suspect_table suspects_;
--- /dev/null
+++ b/src/cache_index.cpp
@@ -0,0 +1,78 @@
+#include "cyclamenpost/cache_index.hpp"
+
+#include <ranges>
+
+namespace cyclamenpost {
+
+namespace {
+
+auto rotate_generations(cache_index& index, time_point now) -> void
+{
+    const auto full = index.young.size() >= index.generation_entries;
+    const auto aged = now - index.young_since >= index.lifetime / 2;
+    if (!full && !aged) {
+        return;
+    }
+    index.old = std::exchange(index.young, {});
+    index.young_since = now;
+}
+
+auto erase_if_held(std::unordered_map<std::uint64_t, std::string>& generation, std::uint64_t prefix,
+                   const std::string& engine) -> void
+{
+    const auto found = generation.find(prefix);
+    if (found != generation.end() && found->second == engine) {
+        generation.erase(found);
+    }
+}
+
+} // namespace
+
+auto prompt_prefixes(const std::vector<std::pair<std::string, std::string>>& roles_and_texts)
+    -> std::vector<std::uint64_t>
+{
+    auto prefixes = std::vector<std::uint64_t>{};
+    auto previous = std::uint64_t{0};
+    for (const auto& [role, text] : roles_and_texts) {
+        previous = hash64(text, hash64(role, previous));
+        prefixes.push_back(previous);
+    }
+    return prefixes;
+}
+
+auto record_cache(cache_index& index, const std::string& engine,
+                  const std::vector<std::uint64_t>& stored,
+                  const std::vector<std::uint64_t>& evicted, time_point now) -> void
+{
+    rotate_generations(index, now);
+    for (const auto prefix : stored) {
+        index.young[prefix] = engine;
+    }
+    for (const auto prefix : evicted) {
+        erase_if_held(index.young, prefix, engine);
+        erase_if_held(index.old, prefix, engine);
+    }
+}
+
+auto forget_engine(cache_index& index, std::string_view engine) -> void
+{
+    const auto held = [&](const auto& entry) { return entry.second == engine; };
+    std::erase_if(index.young, held);
+    std::erase_if(index.old, held);
+}
+
+auto engine_holding(const cache_index& index, const std::vector<std::uint64_t>& prefixes)
+    -> std::string_view
+{
+    for (const auto prefix : std::views::reverse(prefixes)) {
+        for (const auto* generation : {&index.young, &index.old}) {
+            const auto found = generation->find(prefix);
+            if (found != generation->end()) {
+                return found->second;
+            }
+        }
+    }
+    return {};
+}
+
+} // namespace cyclamenpost
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -104,6 +104,7 @@
     work->request_id = to_hex(work->id);
     work->exchange = std::move(exchange);
     work->received = now;
+    work->waiting_since = now;
     work->organisation = header_value(request.headers, "x-organisation");
     work->chat = header_value(request.headers, "x-chat-id");
     work->level = lookup_priority(request);
@@ -180,7 +181,7 @@
     const auto decision =
         enqueue_work(queue_,
                      {work->id, work->organisation, work->queue_class,
-                      static_cast<std::uint64_t>(work->cost), work->received, work->deadline},
+                      static_cast<std::uint64_t>(work->cost), work->waiting_since, work->deadline},
                      now);
     if (decision.displaced) {
         const auto displaced = jobs_.find(decision.displaced->id);
@@ -287,6 +288,13 @@
     if (work->ended) {
         return;
     }
+    if (work->answer_started) {
+        // the status line is gone already, so the stream itself says that it is incomplete
+        work->exchange->write("event: error\ndata: " + to_json(document) + "\n\n");
+        work->exchange->finish();
+        end_job(work, "broken_off");
+        return;
+    }
     auto headers =
         header_list{{"content-type", std::string(problem_content_type)},
                     {"x-request-id", work->request_id},
@@ -358,6 +366,13 @@
 auto relay::on_target_lost(const std::string& target, incarnation_id incarnation,
                            const std::vector<std::uint64_t>& fingerprints) -> void
 {
+    forget_engine(cache_, target);
+    // after the loss of a host no connection is reset, so its streams are ended here and resumed
+    for (const auto& [id, work] : jobs_) {
+        if (work->target == target && work->call && work->kind == service_kind::model) {
+            work->call->cancel();
+        }
+    }
     for (const auto fingerprint : fingerprints) {
         if (!add_strike(suspects_, {fingerprint, target, incarnation}, monotonic_now())) {
             continue;
@@ -374,7 +389,10 @@
     }
 }
 
-auto relay::on_cache(const cache_report&) -> void {}
+auto relay::on_cache(const cache_report& report) -> void
+{
+    record_cache(cache_, report.target, report.stored, report.evicted, monotonic_now());
+}
 
 auto relay::on_member(const member_change& change) -> void
 {
--- a/src/relay_job.hpp
+++ b/src/relay_job.hpp
@@ -22,9 +22,13 @@
     bool stream = false;
     bool repeatable = true;
     double cost = 1;
+    /// Hashes of the prompt's prefixes, shortest first.
+    std::vector<std::uint64_t> prefixes;
     /// Prompt tokens that the last target is expected to hold.
     std::uint64_t cached_tokens = 0;
     time_point received;
+    /// Start of the current wait for a target; a retry begins a new one.
+    time_point waiting_since;
     std::optional<time_point> deadline;
     std::uint64_t fingerprint = 0;
     suspicion suspect = suspicion::none;
