--- a/src/cache_index.cpp
+++ b/src/cache_index.cpp
@@ -1,6 +1,6 @@
 #include "cyclamenpost/cache_index.hpp"
 
-#include <ranges>
+#include <utility>
 
 namespace cyclamenpost {
 
@@ -64,9 +64,9 @@
 auto engine_holding(const cache_index& index, const std::vector<std::uint64_t>& prefixes)
     -> std::string_view
 {
-    for (const auto prefix : std::views::reverse(prefixes)) {
+    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
         for (const auto* generation : {&index.young, &index.old}) {
-            const auto found = generation->find(prefix);
+            const auto found = generation->find(*prefix);
             if (found != generation->end()) {
                 return found->second;
             }
