Derive serving engines and unusable services when text or list change

Cause: each request copied the targets of every service to find services without a target, and each permit decision walked all targets and their model lists; both depend on the operator text and the instance list only. A replaced assignment map was also kept in an unused variable. Change: gate_service computes both once in apply(); behaviour is the same. Conclusion: the per-request cost no longer grows with the number of targets here; views() still does.

--- a/include/cyclamenpost/gate_service.hpp
+++ b/include/cyclamenpost/gate_service.hpp
@@ -112,6 +112,9 @@
     /// Targets of a service that may receive work, in the order of names.
     auto serving_targets(const std::string& service) const -> std::vector<fleet_target>;
 
+    /// Whether a service and all that it depends on have a target that may receive work.
+    auto usable(const std::string& service) const -> bool;
+
     /// A target in force, or a null pointer.
     auto target(const std::string& name) const -> const fleet_target*;
 
@@ -136,7 +139,7 @@
     auto report_loads() -> void;
     auto models_of(const fleet_target& target) const -> std::vector<std::string>;
     auto own_load(const std::string& model) const -> model_load;
-    auto serving_engines(const std::string& model) const -> std::uint32_t;
+    auto count_serving() -> void;
     auto current_mean(const std::string& model) const -> std::optional<fleet_model_load>;
     auto update_mean(gate& gate, time_point now) -> void;
     auto apply_roles(time_point now) -> void;
@@ -161,6 +164,8 @@
     gate_handlers handlers_;
     target_monitor monitor_;
     std::map<std::string, fleet_target> targets_;
+    std::map<std::string, std::uint32_t> serving_engines_;
+    std::vector<std::string> unusable_;
     std::map<std::string, gate_assignment> assignments_;
     std::map<std::string, gate> gates_;
     std::unordered_map<std::uint64_t, pending_request> pending_;
--- a/src/gate_service.cpp
+++ b/src/gate_service.cpp
@@ -98,8 +98,9 @@
         }
     }
     targets_ = std::move(in_force);
+    count_serving();
     auto assigned = assign_gates(parties, instances);
-    auto previous = std::exchange(assignments_, {});
+    assignments_.clear();
     for (auto& assignment : assigned) {
         const auto name = assignment.target;
         assignments_.emplace(name, std::move(assignment));
--- a/src/gate_service_load.cpp
+++ b/src/gate_service_load.cpp
@@ -43,19 +43,34 @@
     cluster_.set_load(std::move(loads));
 }
 
-/// Engines in force that may take work for a model.
-auto gate_service::serving_engines(const std::string& model) const -> std::uint32_t
+/// Derives from text and list what requests ask for: the engines in force that may take work for
+/// each model, and the services that cannot answer.
+auto gate_service::count_serving() -> void
 {
     const auto& config = *config_.text().config;
-    auto count = std::uint32_t{0};
+    serving_engines_.clear();
+    auto served = std::set<std::string>{};
     for (const auto& [name, target] : targets_) {
-        const auto models = models_of(target);
-        const auto offers = std::find(models.begin(), models.end(), model) != models.end();
-        const auto usable =
-            target.state == listed_state::live && !zone_is_out(config, target.target.zone);
-        count += offers && usable ? 1 : 0;
+        if (target.state != listed_state::live || zone_is_out(config, target.target.zone)) {
+            continue;
+        }
+        served.insert(target.target.service);
+        for (const auto& model : models_of(target)) {
+            serving_engines_[model] += 1;
+        }
+    }
+    auto without_target = std::vector<std::string>{};
+    for (const auto& service : config.services) {
+        if (!served.contains(service.name)) {
+            without_target.push_back(service.name);
+        }
     }
-    return count;
+    unusable_ = unusable_services(config, without_target);
+}
+
+auto gate_service::usable(const std::string& service) const -> bool
+{
+    return std::find(unusable_.begin(), unusable_.end(), service) == unusable_.end();
 }
 
 /// Mean load of a model's engines: the gossiped sums, with this instance's part as it is now. The
@@ -72,7 +87,10 @@
     if (reported != reported_.end()) {
         total += static_cast<double>(own_load(model).cost) - static_cast<double>(reported->second);
     }
-    fleet->engines = std::max(fleet->engines, serving_engines(model));
+    const auto serving = serving_engines_.find(model);
+    if (serving != serving_engines_.end()) {
+        fleet->engines = std::max(fleet->engines, serving->second);
+    }
     fleet->mean_cost = std::max(0.0, total / fleet->engines);
     return fleet;
 }
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -132,14 +132,7 @@
         return make_problem(refusal::zone_out, "The operator has taken this instance's zone out.",
                             0, alternatives());
     }
-    auto without_target = std::vector<std::string>{};
-    for (const auto& each : config.services) {
-        if (context_.gates.serving_targets(each.name).empty()) {
-            without_target.push_back(each.name);
-        }
-    }
-    const auto unusable = unusable_services(config, without_target);
-    if (std::find(unusable.begin(), unusable.end(), service.name) != unusable.end()) {
+    if (!context_.gates.usable(service.name)) {
         return make_problem(refusal::dependency_down,
                             "Service " + service.name +
                                 " or a service that it depends on has no live target.",
