--- a/daemons/cyclamenpostd.cpp
+++ b/daemons/cyclamenpostd.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <iostream>
 
 #include "cyclamenpost/log.hpp"
@@ -18,7 +19,15 @@
                                loop.stop();
                            }};
     const auto watching =
-        try_or([&] { return loop.watch_signals([&](int) { instance.begin_shutdown(); }); },
+        try_or(
+            [&] {
+                return loop.watch_signals([&](int signal) {
+                    // settings come from flags and environment, which a running process keeps
+                    if (signal != SIGHUP) {
+                        instance.begin_shutdown();
+                    }
+                });
+            },
                [](const error& failure) { log_error("start", failure); });
     if (!watching) {
         return 1;
--- a/include/cyclamenpost/bus.hpp
+++ b/include/cyclamenpost/bus.hpp
@@ -40,6 +40,10 @@
     bus_keys keys;
     incarnation_id incarnation = 0;
     std::uint64_t start_ms = 0;
+    /// The network itself keeps strangers out, so that no keys are needed off loopback.
+    bool trusted_network = false;
+    /// Largest message that this bus sends or accepts, in bytes.
+    std::size_t max_message_bytes = max_bus_message_bytes;
     /// High-water mark of each queue, in messages.
     int queue_messages = 256;
     /// Messages held per peer until its connection is ready.
--- a/include/cyclamenpost/cluster_node.hpp
+++ b/include/cyclamenpost/cluster_node.hpp
@@ -44,6 +44,9 @@
     /// Announces that this instance is leaving.
     auto leave() -> void;
 
+    /// Sets the address on which callers reach this instance; empty while it takes none.
+    auto set_http(std::string address) -> void;
+
     /// Sets the load sums that probes carry.
     auto set_load(std::vector<model_load> loads) -> void;
 
--- /dev/null
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cyclamenpost/entry/entry_settings.hpp"
+#include "cyclamenpost/entry/fleet_view.hpp"
+#include "cyclamenpost/entry/forwarder.hpp"
+#include "cyclamenpost/entry/peers.hpp"
+#include "cyclamenpost/entry/platform_port.hpp"
+#include "cyclamenpost/entry/store_reader.hpp"
+#include "cyclamenpost/metrics.hpp"
+#include "cyclamenpost/supervisor.hpp"
+#include "cyclamenpost/transport/http1_server.hpp"
+
+namespace cyclamenpost {
+
+/// One entry instance on a platform. Its children start in the order peers, store, request path,
+/// directory and readiness, and stop in reverse order. Each child owns its connections; the view of
+/// the fleet is this instance's.
+class entry_instance {
+public:
+    /// `on_end` is called with the exit status when the instance has stopped.
+    entry_instance(event_loop& loop, platform_port port, entry_settings settings,
+                   std::function<void(int status)> on_end);
+    entry_instance(const entry_instance&) = delete;
+    auto operator=(const entry_instance&) -> entry_instance& = delete;
+
+    /// Starts the tree.
+    auto start() -> void;
+
+    /// Takes over changed settings; addresses stay until the next start.
+    auto reload(entry_settings settings) -> void;
+
+    /// Takes no new callers, answers what has been read, then ends.
+    auto begin_shutdown() -> void;
+
+    /// Whether callers may be sent here.
+    auto ready() const -> bool;
+
+    /// What the instance believes of the fleet.
+    auto view() const -> const fleet_view&;
+
+private:
+    auto tree() -> supervised;
+    auto start_store() -> result<void>;
+    auto start_front() -> result<void>;
+    auto start_directory() -> result<void>;
+    auto apply_bounds() -> void;
+    auto on_changed(const changed_keys& keys) -> void;
+    auto apply_item(const published_item& item) -> void;
+    auto apply_configuration(const published_item& item) -> void;
+    auto apply_target(const std::string& id, const published_item& item) -> void;
+    auto apply_zone(const std::string& zone, bool out) -> void;
+    auto announce_if_ready() -> void;
+    auto answer_side_question(const std::shared_ptr<server_exchange>& exchange) -> void;
+    auto refresh_members() -> void;
+    auto maintain() -> void;
+    auto finish_shutdown() -> void;
+    auto longest_cold_time() const -> duration;
+
+    event_loop& loop_;
+    platform_port port_;
+    entry_settings settings_;
+    std::function<void(int)> on_end_;
+    metric_registry metrics_;
+    fleet_view view_;
+    published_state state_;
+    supervisor supervisor_;
+    peers peers_;
+    store_reader store_;
+    forwarder forwarder_;
+    http1_server front_;
+    http1_server ready_;
+    http1_server directory_;
+    timer maintenance_;
+    timer shutdown_timer_;
+    time_point started_{};
+    time_point shutdown_begun_{};
+    bool announced_ = false;
+};
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cyclamenpost/cluster_node.hpp"
+#include "cyclamenpost/entry/entry_settings.hpp"
+#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/routing/directory.hpp"
+#include "cyclamenpost/routing/published_state.hpp"
+
+namespace cyclamenpost {
+
+/// What the peers tell the instance.
+struct peer_handlers {
+    std::function<void(const changed_keys&)> on_changed;
+    std::function<void()> on_members;
+    std::function<void(const strike&)> on_strike;
+    /// Whether the own reading of the store works.
+    std::function<bool()> store_available;
+};
+
+/// The instance's place among the others: finds them through seeds, notices the dead, and takes the
+/// store's changes from one that has them while the store does not answer this instance.
+class peers {
+public:
+    peers(event_loop& loop, const entry_settings& settings, published_state& state,
+          peer_handlers handlers);
+
+    /// Joins the fleet. Fails with `bus_failed`.
+    auto start() -> result<void>;
+
+    /// Leaves without a word, as when the process ends.
+    auto stop() -> void;
+
+    /// Tells the others that callers may use this instance.
+    auto announce_ready() -> void;
+
+    /// Tells the others that this instance takes no new callers.
+    auto leave() -> void;
+
+    /// Tells the others the revision up to which this instance has read.
+    auto announce_revision() -> void;
+
+    /// Tells the others that a target died under a request.
+    auto spread(const strike& seen) -> void;
+
+    /// Instances that callers may use, this one included.
+    auto usable() const -> std::vector<directory_entry>;
+
+    /// Ids of all instances that may run, this one included.
+    auto all_ids() const -> std::vector<std::string>;
+
+private:
+    auto on_sighting(const config_sighting& seen) -> void;
+    auto on_message(const wire::envelope& message) -> void;
+    auto send_changes(const std::string& to, std::uint64_t after) -> void;
+    auto take_changes(const wire::published_part& part) -> void;
+    auto fetch(const std::string& from) -> void;
+
+    event_loop& loop_;
+    const entry_settings& settings_;
+    published_state& state_;
+    peer_handlers handlers_;
+    cluster_node cluster_;
+    timer fetch_timer_;
+    time_point last_fetch_{};
+    bool leaving_ = false;
+};
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/include/cyclamenpost/entry/platform_port.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cyclamenpost/routing/published_state.hpp"
+#include "cyclamenpost/routing/route_table.hpp"
+#include "cyclamenpost/routing/target_table.hpp"
+#include "cyclamenpost/transport/http1.hpp"
+
+namespace cyclamenpost {
+
+/// One part of a prompt that requests may share.
+struct prompt_part {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// What a caller says of its request, besides method, target and body.
+struct caller_request {
+    std::string id;
+    std::string host;
+    std::string key;
+    std::optional<duration> deadline;
+    std::vector<prompt_part> prompt;
+    /// The caller has had the events up to this one.
+    std::optional<std::uint64_t> last_event;
+};
+
+/// What the instance adds to a request that it sends to a target.
+struct target_marks {
+    std::string target_id;
+    /// Empty when the route is open.
+    std::string organisation;
+    duration deadline{};
+    std::optional<int> priority;
+    std::optional<std::uint64_t> last_event;
+};
+
+/// What a target says in the head of an answer.
+struct target_answer {
+    std::string request_id;
+    std::string target_id;
+    /// The target vouches for the answer.
+    bool has_receipt = false;
+    /// The target says that it did not run the request.
+    bool not_executed = false;
+    bool event_stream = false;
+    std::optional<reported_load> load;
+    std::optional<duration> cold_for;
+};
+
+/// What a store item is about.
+enum class item_kind { configuration, target, zone_out, other };
+
+/// A decoded key of the store: its kind, and the target's id or the zone's name.
+struct item_key {
+    item_kind kind = item_kind::other;
+    std::string name;
+};
+
+/// One page of a listing.
+struct listing_page {
+    std::vector<published_item> items;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+
+/// Changes that a watch returned.
+struct watched_changes {
+    std::vector<published_item> items;
+    std::uint64_t revision = 0;
+};
+
+/// A caller's question which addresses to use.
+struct directory_query {
+    std::string zone;
+};
+
+/// How the platform spells what an instance exchanges with it. An adapter fills it; nothing here
+/// decides anything.
+struct platform_port {
+    std::function<caller_request(const request_head&)> decode_request;
+    std::function<request_head(const request_head&, const target_marks&)> encode_request;
+    std::function<target_answer(const response_head&)> decode_answer;
+    /// Head of an answer of the instance's own; the wait is left out when it is zero.
+    std::function<response_head(int status, duration retry_after)> encode_refusal;
+
+    /// Prefixes of the store that an instance reads.
+    std::vector<std::string> store_prefixes;
+    std::function<request_head(const std::string& prefix, const std::string& after_key)>
+        list_request;
+    std::function<request_head(const std::string& prefix, std::uint64_t after, duration wait)>
+        watch_request;
+    std::function<std::optional<listing_page>(std::string_view body)> decode_listing;
+    std::function<std::optional<watched_changes>(std::string_view body)> decode_changes;
+    std::function<item_key(const std::string& key)> decode_key;
+    std::function<std::optional<route_table>(std::string_view value)> decode_configuration;
+    std::function<std::optional<published_target>(const std::string& id, std::string_view value)>
+        decode_target;
+
+    std::function<bool(const request_head&)> is_ready_question;
+    std::function<std::optional<directory_query>(const request_head&)> decode_directory;
+    std::function<std::string(const std::vector<std::string>& addresses, duration validity)>
+        encode_directory;
+};
+
+} // namespace cyclamenpost
--- a/include/cyclamenpost/event_loop.hpp
+++ b/include/cyclamenpost/event_loop.hpp
@@ -70,7 +70,7 @@
     /// caller and must outlive the loop. Fails with `bus_failed` when the loop cannot adopt it.
     auto watch_descriptor(int descriptor, std::function<void()> on_ready) -> result<void>;
 
-    /// Calls `on_signal` on the loop when one of SIGTERM and SIGINT arrives. Blocks both signals
+    /// Calls `on_signal` on the loop when SIGTERM, SIGINT or SIGHUP arrives. Blocks these signals
     /// for ordinary delivery, so it is called before other threads are started.
     auto watch_signals(std::function<void(int)> on_signal) -> result<void>;
 
--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -276,6 +276,9 @@
 auto announce_leaving(membership_state& state, time_point now, std::mt19937_64& random)
     -> membership_step;
 
+/// Sets the address on which callers reach this instance, and spreads it like a refutation.
+auto set_caller_address(membership_state& state, std::string http, time_point now) -> void;
+
 /// Sets the load of this instance's own targets, summed by model.
 auto report_load(membership_state& state, std::vector<model_load> models, time_point now) -> void;
 
--- /dev/null
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "cyclamenpost/routing/target_table.hpp"
+
+namespace cyclamenpost {
+
+/// What a request asks of its target.
+struct choice_query {
+    std::string_view service;
+    /// Hash of the part of the prompt that requests share; 0 without one.
+    std::uint64_t affinity = 0;
+    /// Tokens that need not be read again at a target that keeps them.
+    std::uint32_t shared_tokens = 0;
+    /// Targets that have been tried.
+    const std::set<std::string>* tried = nullptr;
+    double cold_per_second = 0;
+    std::string_view own_id;
+    const std::vector<std::string>* members = nullptr;
+};
+
+/// Weights of the choice, in shares of a target's capacity.
+struct choice_weights {
+    /// Using another zone costs bytes and two crossings.
+    double other_zone = 0.35;
+    /// Reading ten thousand tokens again occupies a target about as much as this share of load.
+    double reread_10k_tokens = 0.5;
+    /// A target that failed lately is used only when the others are this much fuller.
+    double avoided = 2.0;
+    /// Load above which waiting at the target is certain.
+    double full = 1.0;
+};
+
+/// Why no target was chosen.
+enum class no_target { none, service_empty, all_cold, all_tried };
+
+inline constexpr std::array no_target_names{
+    enum_name<no_target>{no_target::none, "none"},
+    enum_name<no_target>{no_target::service_empty, "service_empty"},
+    enum_name<no_target>{no_target::all_cold, "all_cold"},
+    enum_name<no_target>{no_target::all_tried, "all_tried"},
+};
+
+/// The chosen target with the inputs that decided.
+struct target_choice {
+    target* chosen = nullptr;
+    no_target why = no_target::none;
+    double load = 0;
+    bool holder = false;
+    bool same_zone = false;
+    std::size_t candidates = 0;
+};
+
+/// Chooses the target with the lowest cost: its load, the zone it is in, whether it keeps the
+/// prompt, and its failures. The keeper of a prompt is the first in rendezvous order over the
+/// prompt's hash within a zone, so that all instances agree without telling each other.
+auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
+                   time_point now) -> target_choice;
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/include/cyclamenpost/transport/tcp.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cyclamenpost/error.hpp"
+#include "cyclamenpost/event_loop.hpp"
+
+namespace cyclamenpost {
+
+namespace detail {
+struct tcp_state;
+struct tcp_listener_state;
+} // namespace detail
+
+/// Why a connection ended. Only `finished` says that the peer closed it in order; a body without a
+/// length is complete only then.
+enum class close_reason { finished, reset, refused, unreachable };
+
+inline constexpr std::array close_reason_names{
+    enum_name<close_reason>{close_reason::finished, "finished"},
+    enum_name<close_reason>{close_reason::reset, "reset"},
+    enum_name<close_reason>{close_reason::refused, "refused"},
+    enum_name<close_reason>{close_reason::unreachable, "unreachable"},
+};
+
+/// What a connection tells its owner. The owner may drop the connection in any of them.
+struct tcp_handlers {
+    std::function<void()> on_connected;
+    std::function<void(std::string_view bytes)> on_bytes;
+    /// All bytes given to `send` have been handed to the kernel.
+    std::function<void()> on_sent;
+    std::function<void(close_reason reason)> on_closed;
+};
+
+/// One TCP connection on the loop. It is driven through plain descriptors that libwebsockets polls:
+/// its own raw sockets hide whether the peer finished or reset, and how much was really sent, and
+/// both decide whether a request may be repeated.
+class tcp_connection {
+public:
+    tcp_connection() noexcept;
+    tcp_connection(tcp_connection&& other) noexcept;
+    auto operator=(tcp_connection&& other) noexcept -> tcp_connection&;
+    tcp_connection(const tcp_connection&) = delete;
+    auto operator=(const tcp_connection&) -> tcp_connection& = delete;
+
+    /// Closes the connection in order, unless bytes are unread; then the kernel resets it.
+    ~tcp_connection();
+
+    /// Whether the connection is open or being opened.
+    explicit operator bool() const;
+
+    /// Sets the receiver of events, replacing the one before.
+    auto set_handlers(tcp_handlers handlers) -> void;
+
+    /// Sends bytes, keeping what the kernel does not take yet.
+    auto send(std::string_view bytes) -> void;
+
+    /// Bytes that wait for the kernel.
+    auto unsent() const -> std::size_t;
+
+    /// Bytes handed to the kernel since the connection was opened.
+    auto sent() const -> std::uint64_t;
+
+    /// Whether the connection has been established.
+    auto connected() const -> bool;
+
+    /// Stops or continues reading, so that a slow reader elsewhere slows the peer.
+    auto set_reading(bool wanted) -> void;
+
+    /// Closes the connection. No handler is called any more.
+    auto close() -> void;
+
+    /// Resets the connection: the peer sees an error instead of an end. Unsent bytes are dropped.
+    auto reset() -> void;
+
+private:
+    friend auto connect_tcp(event_loop&, const std::string&) -> result<tcp_connection>;
+    friend struct detail::tcp_listener_state;
+    explicit tcp_connection(std::shared_ptr<detail::tcp_state> state);
+    std::shared_ptr<detail::tcp_state> state_;
+};
+
+/// Begins to connect to "ip:port". Fails with `connect_failed` when the address is malformed or no
+/// descriptor is left.
+auto connect_tcp(event_loop& loop, const std::string& address) -> result<tcp_connection>;
+
+/// Accepts connections until it is destroyed.
+class tcp_listener {
+public:
+    tcp_listener() noexcept;
+    tcp_listener(tcp_listener&&) noexcept;
+    auto operator=(tcp_listener&&) noexcept -> tcp_listener&;
+    tcp_listener(const tcp_listener&) = delete;
+    auto operator=(const tcp_listener&) -> tcp_listener& = delete;
+    ~tcp_listener();
+
+    /// Listens on "ip:port"; port 0 picks a free one. Fails with `listen_failed`.
+    static auto open(event_loop& loop, const std::string& address,
+                     std::function<void(tcp_connection, std::string peer)> on_accept)
+        -> result<tcp_listener>;
+
+    /// Stops listening.
+    auto close() -> void;
+
+    /// Port that is listened on.
+    auto port() const -> int;
+
+private:
+    std::shared_ptr<detail::tcp_listener_state> state_;
+};
+
+} // namespace cyclamenpost
--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -19,6 +19,7 @@
 // wakes of the descriptor can be missed because it only signals changes
 constexpr auto check_period = std::chrono::milliseconds{100};
 constexpr auto connecting_check_period = std::chrono::milliseconds{5};
+constexpr auto heartbeat_ms = 1000;
 constexpr auto idle_check_period = std::chrono::seconds{5};
 // one turn of the loop handles at most this many messages, so that HTTP traffic is served as well
 constexpr std::size_t key_bytes = 32;
@@ -153,9 +154,12 @@
     auto close_idle() -> void;
 };
 
-/// A bus without keys listens on loopback only, for tests and demonstrations.
+/// A bus without keys listens on loopback or on a network that is trusted by its settings.
 auto bus::state::encrypted() const -> bool
 {
+    if (settings.keys.server_secret.empty() && settings.trusted_network) {
+        return false;
+    }
     return !settings.keys.server_secret.empty() || !settings.listen_address.starts_with("127.");
 }
 
@@ -192,7 +196,7 @@
     auto* socket = listener.get();
     set_int(socket, ZMQ_RCVHWM, settings.queue_messages);
     set_int(socket, ZMQ_LINGER, 0);
-    const auto limit = static_cast<std::int64_t>(max_bus_message_bytes);
+    const auto limit = static_cast<std::int64_t>(settings.max_message_bytes);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit, sizeof limit);
     if (zmq_bind(socket, ("tcp://" + settings.listen_address).c_str()) != 0) {
         return last_error(settings.listen_address, "cannot listen");
@@ -293,7 +297,7 @@
 
 auto bus::state::accept(const void* data, std::size_t size, bool whole) -> void
 {
-    if (size > max_bus_message_bytes) {
+    if (size > settings.max_message_bytes) {
         ++counters.oversized;
         return;
     }
@@ -330,6 +334,9 @@
     set_int(socket.get(), ZMQ_IMMEDIATE, 1);
     set_int(socket.get(), ZMQ_SNDHWM, settings.queue_messages);
     set_int(socket.get(), ZMQ_RECONNECT_IVL_MAX, 2000);
+    // a connection that went silent without a reset is noticed and opened anew
+    set_int(socket.get(), ZMQ_HEARTBEAT_IVL, heartbeat_ms);
+    set_int(socket.get(), ZMQ_HEARTBEAT_TIMEOUT, 2 * heartbeat_ms);
     const auto secured =
         !encrypted() || (set_text(socket.get(), ZMQ_CURVE_SERVERKEY, keys.server_public) &&
                          set_text(socket.get(), ZMQ_CURVE_PUBLICKEY, keys.client_public) &&
@@ -507,7 +514,7 @@
     set_sender(complete, {state_->settings.instance, state_->settings.incarnation,
                           state_->settings.start_ms});
     auto bytes = complete.SerializeAsString();
-    if (bytes.size() > max_bus_message_bytes) {
+    if (bytes.size() > state_->settings.max_message_bytes) {
         ++state_->counters.oversized;
         return false;
     }
--- a/src/cluster_node.cpp
+++ b/src/cluster_node.cpp
@@ -74,6 +74,11 @@
     perform(announce_leaving(state_, monotonic_now(), random_));
 }
 
+auto cluster_node::set_http(std::string address) -> void
+{
+    set_caller_address(state_, std::move(address), monotonic_now());
+}
+
 auto cluster_node::set_load(std::vector<model_load> loads) -> void
 {
     report_load(state_, std::move(loads), monotonic_now());
--- /dev/null
+++ b/src/entry/entry_instance.cpp
@@ -0,0 +1,358 @@
+#include "cyclamenpost/entry/entry_instance.hpp"
+
+#include <algorithm>
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto ok = 200;
+constexpr auto not_found = 404;
+constexpr auto service_unavailable = 503;
+constexpr duration maintenance_period = std::chrono::milliseconds{500};
+constexpr duration shutdown_check_period = std::chrono::milliseconds{50};
+// callers that learnt this address before the stop still come for about this long
+constexpr duration least_drain = std::chrono::milliseconds{2500};
+// the process ends this much before it would be killed
+constexpr duration grace_margin = std::chrono::milliseconds{300};
+// members are known about this long after a start; before, cold targets get nothing
+constexpr duration settling_time = std::chrono::milliseconds{2500};
+// entries that vanish this soon after the store's return may have lapsed meanwhile
+constexpr duration lapse_window = std::chrono::seconds{2};
+// a directory answer is kept half as long as allowed: some callers keep it three times as long
+constexpr int validity_divisor = 2;
+// part of the fleet's retries that instances spend; the rest covers unequal traffic
+constexpr double retry_part = 0.7;
+// strikes are kept while callers may repeat the request that crashes targets
+constexpr duration suspect_lifetime = std::chrono::seconds{60};
+
+auto limits_of(const request_limits& limits) -> server_limits
+{
+    return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+            limits.idle_timeout};
+}
+
+auto text_head(int status, std::string type) -> response_head
+{
+    auto head = response_head{};
+    head.status = status;
+    head.fields.push_back({"Content-Type", std::move(type)});
+    return head;
+}
+
+} // namespace
+
+entry_instance::entry_instance(event_loop& loop, platform_port port, entry_settings settings,
+                               std::function<void(int)> on_end)
+    : loop_(loop),
+      port_(std::move(port)),
+      settings_(std::move(settings)),
+      on_end_(std::move(on_end)),
+      supervisor_(loop, {},
+                  [this](const std::string& child) {
+                      log_event(log_level::error, "child_failed_too_often", {{"child", child}});
+                      on_end_(1);
+                  }),
+      peers_(loop, settings_, state_,
+             {[this](const changed_keys& keys) {
+                  on_changed(keys);
+                  store_.renew();
+              },
+              [this] { refresh_members(); },
+              [this](const strike& seen) {
+                  add_strike(view_.suspects, seen, monotonic_now());
+              },
+              [this] { return store_.available(); }}),
+      store_(loop, port_, {settings_.store_address}, state_,
+             {[this](const changed_keys& keys) { on_changed(keys); }, [](bool) {}}),
+      forwarder_(loop, port_, view_, {}, metrics_),
+      front_(loop, {},
+             [this](std::shared_ptr<server_exchange> exchange) {
+                 forwarder_.handle(std::move(exchange));
+             }),
+      ready_(loop, {},
+             [this](const std::shared_ptr<server_exchange>& exchange) {
+                 answer_side_question(exchange);
+             }),
+      directory_(loop, {}, [this](const std::shared_ptr<server_exchange>& exchange) {
+          answer_side_question(exchange);
+      })
+{
+    view_.own_id = settings_.peer_address;
+    view_.suspects.settings.lifetime = suspect_lifetime;
+    apply_bounds();
+}
+
+auto entry_instance::apply_bounds() -> void
+{
+    view_.targets.settings.zone = settings_.zone;
+    view_.targets.settings.cold_over = settings_.cold_over;
+    view_.targets.settings.cold_slack = settings_.cold_slack;
+    refresh_members();
+}
+
+auto entry_instance::tree() -> supervised
+{
+    auto root = supervised{};
+    root.name = "entry";
+    root.start = [] { return result<void>{}; };
+    root.stop = [] {};
+    root.children.push_back(
+        {"peers", [this] { return peers_.start(); }, [this] { peers_.stop(); }, {}});
+    root.children.push_back(
+        {"store", [this] { return start_store(); }, [this] { store_.stop(); }, {}});
+    root.children.push_back(
+        {"front", [this] { return start_front(); }, [this] { front_.stop_listening(); }, {}});
+    root.children.push_back({"directory", [this] { return start_directory(); },
+                             [this] {
+                                 ready_.stop_listening();
+                                 directory_.stop_listening();
+                             },
+                             {}});
+    return root;
+}
+
+auto entry_instance::start() -> void
+{
+    started_ = monotonic_now();
+    supervisor_.start(tree());
+    maintenance_ = loop_.call_every(maintenance_period, [this] { maintain(); });
+    forwarder_.on_strike([this](const strike& seen) { peers_.spread(seen); });
+}
+
+auto entry_instance::start_store() -> result<void>
+{
+    store_.start();
+    return {};
+}
+
+auto entry_instance::start_front() -> result<void>
+{
+    return front_.listen(settings_.front_address);
+}
+
+auto entry_instance::start_directory() -> result<void>
+{
+    if (!settings_.ready_address.empty()) {
+        BOOST_LEAF_CHECK(ready_.listen(settings_.ready_address));
+    }
+    if (!settings_.directory_address.empty()) {
+        BOOST_LEAF_CHECK(directory_.listen(settings_.directory_address));
+    }
+    return {};
+}
+
+auto entry_instance::reload(entry_settings settings) -> void
+{
+    log_event(log_level::info, "reload",
+              {{"instance", settings.name}, {"seeds", std::to_string(settings.seeds.size())}});
+    settings_ = std::move(settings);
+    apply_bounds();
+}
+
+auto entry_instance::ready() const -> bool
+{
+    return view_.routes && view_.targets_known && !view_.draining;
+}
+
+auto entry_instance::view() const -> const fleet_view&
+{
+    return view_;
+}
+
+auto entry_instance::longest_cold_time() const -> duration
+{
+    auto longest = duration::zero();
+    if (view_.routes) {
+        for (const auto& service : view_.routes->services) {
+            longest = std::max(longest, service.cold_time);
+        }
+    }
+    return longest;
+}
+
+auto entry_instance::on_changed(const changed_keys& keys) -> void
+{
+    for (const auto& key : keys) {
+        const auto found = state_.items.find(key);
+        if (found != state_.items.end()) {
+            apply_item(found->second);
+        }
+    }
+    if (state_.revision > 0) {
+        view_.targets_known = true;
+    }
+    peers_.announce_revision();
+    announce_if_ready();
+}
+
+auto entry_instance::apply_item(const published_item& item) -> void
+{
+    const auto key = port_.decode_key(item.key);
+    switch (key.kind) {
+    case item_kind::configuration:
+        apply_configuration(item);
+        return;
+    case item_kind::target:
+        apply_target(key.name, item);
+        return;
+    case item_kind::zone_out:
+        apply_zone(key.name, !item.removed);
+        return;
+    case item_kind::other:
+        return;
+    }
+}
+
+auto entry_instance::apply_configuration(const published_item& item) -> void
+{
+    if (item.removed) {
+        return;
+    }
+    auto table = port_.decode_configuration(item.value);
+    if (!table) {
+        log_event(log_level::error, "configuration_unreadable",
+                  {{"revision", std::to_string(item.revision)}});
+        return;
+    }
+    if (view_.routes && table->version < view_.routes->version) {
+        log_event(log_level::warning, "configuration_older",
+                  {{"version", std::to_string(table->version)},
+                   {"in_force", std::to_string(view_.routes->version)}});
+        return;
+    }
+    log_event(log_level::info, "configuration",
+              {{"version", std::to_string(table->version)},
+               {"revision", std::to_string(item.revision)},
+               {"routes", std::to_string(table->routes.size())},
+               {"organisations", std::to_string(table->organisations.size())}});
+    front_.set_limits(limits_of(table->limits));
+    view_.routes = std::make_shared<const route_table>(std::move(*table));
+}
+
+auto entry_instance::apply_target(const std::string& id, const published_item& item) -> void
+{
+    const auto now = monotonic_now();
+    if (item.removed) {
+        const auto away = store_.last_away();
+        const auto lapsed = !store_.available() || (away && now - *away < lapse_window);
+        remove_target(view_.targets, id, lapsed ? absence::lapsed : absence::removed, now);
+        log_event(log_level::info, "target_gone",
+                  {{"target", id},
+                   {"lapsed", lapsed ? "1" : "0"},
+                   {"revision", std::to_string(item.revision)}});
+        return;
+    }
+    const auto entry = port_.decode_target(id, item.value);
+    if (!entry) {
+        remove_target(view_.targets, id, absence::removed, now);
+        log_event(log_level::warning, "target_unreadable",
+                  {{"target", id}, {"revision", std::to_string(item.revision)}});
+        return;
+    }
+    publish_target(view_.targets, *entry, now);
+    log_event(log_level::info, "target",
+              {{"target", id},
+               {"service", entry->service},
+               {"address", entry->address},
+               {"zone", entry->zone},
+               {"leaving", entry->leaving ? "1" : "0"},
+               {"revision", std::to_string(item.revision)}});
+}
+
+auto entry_instance::apply_zone(const std::string& zone, bool out) -> void
+{
+    set_zone_out(view_.targets, zone, out, longest_cold_time(), monotonic_now());
+    log_event(log_level::info, "zone", {{"zone", zone}, {"out", out ? "1" : "0"}});
+}
+
+auto entry_instance::announce_if_ready() -> void
+{
+    if (ready() && !std::exchange(announced_, true)) {
+        log_event(log_level::info, "ready",
+                  {{"config", std::to_string(view_.routes->version)},
+                   {"targets", std::to_string(view_.targets.targets.size())}});
+        peers_.announce_ready();
+    }
+}
+
+auto entry_instance::refresh_members() -> void
+{
+    const auto settled = started_ != time_point{} && monotonic_now() - started_ > settling_time;
+    view_.members = settled ? peers_.all_ids() : std::vector<std::string>{};
+    const auto count = std::max<std::size_t>(view_.members.size(), 1);
+    constexpr double window_seconds = retry_budget::window_seconds;
+    view_.retries.share = settings_.retry_share * retry_part;
+    view_.retries.per_second = settled ? settings_.retry_slack * retry_part / window_seconds /
+                                             static_cast<double>(count)
+                                       : 0;
+}
+
+auto entry_instance::maintain() -> void
+{
+    const auto now = monotonic_now();
+    refresh_members();
+    forget_gone(view_.targets, now);
+    expire_strikes(view_.suspects, now);
+}
+
+auto entry_instance::answer_side_question(const std::shared_ptr<server_exchange>& exchange) -> void
+{
+    if (port_.is_ready_question(exchange->head)) {
+        exchange->answer(text_head(ready() ? ok : service_unavailable, "text/plain"), {});
+        return;
+    }
+    const auto query = port_.decode_directory(exchange->head);
+    if (!query) {
+        exchange->answer(text_head(not_found, "text/plain"), {});
+        return;
+    }
+    const auto entries = peers_.usable();
+    const auto addresses = directory_addresses(
+        entries, query->zone, static_cast<std::uint64_t>(monotonic_now().time_since_epoch().count()));
+    if (addresses.empty()) {
+        exchange->answer(text_head(service_unavailable, "text/plain"), {});
+        return;
+    }
+    exchange->answer(
+        text_head(ok, "application/json"),
+        port_.encode_directory(addresses, settings_.directory_validity / validity_divisor));
+}
+
+auto entry_instance::begin_shutdown() -> void
+{
+    if (std::exchange(view_.draining, true)) {
+        return;
+    }
+    log_event(log_level::info, "shutdown_begun",
+              {{"running", std::to_string(forwarder_.running())},
+               {"connections", std::to_string(front_.connections())}});
+    shutdown_begun_ = monotonic_now();
+    peers_.leave();
+    front_.begin_drain();
+    ready_.begin_drain();
+    directory_.begin_drain();
+    shutdown_timer_ = loop_.call_every(shutdown_check_period, [this] { finish_shutdown(); });
+}
+
+auto entry_instance::finish_shutdown() -> void
+{
+    const auto waited = monotonic_now() - shutdown_begun_;
+    const auto idle = forwarder_.running() == 0 && front_.busy() == 0;
+    const auto done = (waited > least_drain && idle) || waited > settings_.grace - grace_margin;
+    if (!done) {
+        return;
+    }
+    log_event(log_level::info, "stop",
+              {{"running", std::to_string(forwarder_.running())},
+               {"waited_ms",
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())}});
+    shutdown_timer_.reset();
+    supervisor_.stop();
+    on_end_(0);
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/entry/forward_job.cpp
@@ -0,0 +1,494 @@
+#include "forward_job.hpp"
+
+#include <algorithm>
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost::detail {
+
+namespace {
+
+constexpr auto bad_gateway = 502;
+constexpr auto service_unavailable = 503;
+constexpr auto gateway_timeout = 504;
+constexpr auto misdirected = 421;
+constexpr auto server_error = 500;
+
+// part of the objective that a request may wait for a target to become free; what waits longer is
+// late anyway and is told when to come back
+constexpr int waiting_share = 8;
+constexpr duration wait_step = std::chrono::milliseconds{20};
+// a repeatable request goes to another target when the first has said nothing for this many
+// objectives, since a silent target rarely recovers within the caller's time
+constexpr int silent_objectives = 2;
+constexpr duration shortest_silence = std::chrono::milliseconds{1000};
+// the answer of a request whose time is over is given this much before the caller leaves
+constexpr duration final_margin = std::chrono::milliseconds{20};
+
+auto milliseconds_text(duration span) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+auto unsent_failure(exchange_failure how) -> bool
+{
+    return how == exchange_failure::refused || how == exchange_failure::unreachable;
+}
+
+} // namespace
+
+auto forward_job::time_left() const -> duration
+{
+    return std::max<duration>(final_at - monotonic_now(), duration::zero());
+}
+
+/// Calls a step after a delay, unless the job has ended meanwhile.
+auto forward_job::later(duration delay, void (forward_job::*step)()) -> timer
+{
+    return parts.loop.call_after(delay, [weak = weak_from_this(), step] {
+        if (const auto self = weak.lock()) {
+            (*self.*step)();
+        }
+    });
+}
+
+auto forward_job::start() -> void
+{
+    arrived = exchange->begun;
+    const auto limit = std::min(rule->timeout, request.deadline.value_or(rule->timeout));
+    final_at = arrived + std::max<duration>(limit - final_margin, limit / 2);
+    events.last_event = request.last_event;
+    fingerprint = request_fingerprint(organisation_name, exchange->head.target, exchange->body);
+    exchange->on_cancelled = [this] { on_caller_gone(); };
+    exchange->on_sent = [this] {
+        if (std::exchange(paused, false)) {
+            attempt.set_reading(true);
+        }
+    };
+    final_timer = later(time_left(), &forward_job::on_final_time);
+    if (standing(parts.view.suspects, fingerprint, monotonic_now()) == suspicion::stopped) {
+        answer_own(service_unavailable, refusal_wait(time_left(), 1), "crashes_targets");
+        return;
+    }
+    if (service == nullptr) {
+        refuse("service_unknown");
+        return;
+    }
+    auto& budget = parts.view.retry_budgets[service->name];
+    budget.settings = parts.view.retries;
+    count_first_attempt(budget, monotonic_now());
+    try_next();
+}
+
+auto forward_job::try_next() -> void
+{
+    auto query = choice_query{};
+    query.service = service->name;
+    query.affinity = affinity;
+    query.shared_tokens = shared_tokens;
+    query.tried = &tried;
+    query.cold_per_second = service->cold_per_second;
+    query.own_id = parts.view.own_id;
+    query.members = &parts.view.members;
+    const auto choice =
+        choose_target(parts.view.targets, query, parts.weights, monotonic_now());
+    if (choice.chosen == nullptr) {
+        wait_for_target(choice.why);
+        return;
+    }
+    send_to(choice);
+}
+
+auto forward_job::wait_for_target(no_target why) -> void
+{
+    const auto waited = monotonic_now() - arrived;
+    if (waited > rule->objective / waiting_share || why == no_target::all_tried) {
+        refuse(name_in(no_target_names, why));
+        return;
+    }
+    wait_timer = later(wait_step, &forward_job::try_next);
+}
+
+auto forward_job::send_to(const target_choice& choice) -> void
+{
+    const auto now = monotonic_now();
+    auto& chosen = *choice.chosen;
+    target_id = chosen.published.id;
+    log_event(log_level::debug, "placed",
+              {{"request", request.id},
+               {"target", target_id},
+               {"load", std::to_string(choice.load)},
+               {"candidates", std::to_string(choice.candidates)},
+               {"holder", choice.holder ? "1" : "0"},
+               {"same_zone", choice.same_zone ? "1" : "0"}});
+    auto marks = target_marks{};
+    marks.target_id = target_id;
+    marks.organisation = organisation_name;
+    marks.deadline = time_left();
+    marks.priority = priority;
+    if (rule->kind == route_kind::stream) {
+        marks.last_event = events.last_event;
+    }
+    auto outgoing = outgoing_request{};
+    outgoing.address = chosen.published.address;
+    outgoing.head = parts.port.encode_request(exchange->head, marks);
+    outgoing.body = exchange->body;
+    answer = {};
+    answer_head = {};
+    answer_body.clear();
+    head_seen = false;
+    passing_events = false;
+    attempt_begun = now;
+    tried.insert(target_id);
+    ++sends;
+    begin_request(parts.view.targets, chosen, now);
+    at_target = true;
+    resume_events(events);
+
+    auto handlers = exchange_handlers{};
+    handlers.is_own = [this](const response_head& head) {
+        const auto seen = parts.port.decode_answer(head);
+        return seen.request_id.empty() || seen.request_id == request.id;
+    };
+    handlers.on_head = [this](response_head& head) { on_answer_head(head); };
+    handlers.on_body = [this](std::string_view bytes) { on_answer_body(bytes); };
+    handlers.on_complete = [this] { on_answer_complete(); };
+    handlers.on_failed = [this](exchange_failure how) { on_attempt_failed(how); };
+    const auto self = shared_from_this();
+    const auto begun = try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(attempt, parts.client.send(outgoing, std::move(handlers)));
+            return {};
+        },
+        [&](const error& failure) { log_error("connect", failure); });
+    if (!begun) {
+        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "no_connection");
+        return;
+    }
+    attempt_timer = later(
+        attempt.connected() ? std::max<duration>(rule->objective * silent_objectives,
+                                                 shortest_silence)
+                            : parts.settings.connect_limit,
+        &forward_job::on_attempt_late);
+}
+
+auto forward_job::on_attempt_late() -> void
+{
+    if (!attempt.connected()) {
+        attempt.cancel();
+        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "connect_timeout");
+        return;
+    }
+    const auto silence = std::max<duration>(rule->objective * silent_objectives, shortest_silence);
+    const auto waited = monotonic_now() - attempt_begun;
+    if (waited < silence) {
+        attempt_timer = later(silence - waited, &forward_job::on_attempt_late);
+        return;
+    }
+    if (head_seen || !repeatable(*rule) || !target_left() || runs + 1 >= rule->max_attempts) {
+        return;
+    }
+    attempt.cancel();
+    ++runs;
+    end_attempt(attempt_end::lost, target_outcome::failed, "silent");
+}
+
+auto forward_job::on_answer_head(response_head& head) -> void
+{
+    head_seen = true;
+    attempt_timer.reset();
+    first_byte_at = monotonic_now();
+    answer = parts.port.decode_answer(head);
+    answer_head = head;
+    const auto found = parts.view.targets.targets.find(target_id);
+    if (found != parts.view.targets.targets.end()) {
+        if (answer.load) {
+            note_load(found->second, answer.load->running, answer.load->waiting, first_byte_at);
+        }
+        if (answer.cold_for && *answer.cold_for > duration::zero()) {
+            found->second.cold_until =
+                std::max(found->second.cold_until, first_byte_at + *answer.cold_for);
+        }
+    }
+    const auto good = head.status / 100 == 2;
+    passing_events = good && answer.event_stream && answer.has_receipt;
+    if (passing_events && !exchange->begun_answer()) {
+        auto passed = head;
+        drop_connection_fields(passed.fields);
+        exchange->begin(std::move(passed));
+    }
+}
+
+auto forward_job::on_answer_body(std::string_view bytes) -> void
+{
+    if (passing_events) {
+        pass_events(bytes);
+        return;
+    }
+    answer_body += bytes;
+    if (answer_body.size() > parts.settings.max_answer_bytes) {
+        const auto self = shared_from_this();
+        attempt.cancel();
+        ++runs;
+        end_attempt(attempt_end::lost, target_outcome::failed, "answer_too_large");
+    }
+}
+
+auto forward_job::pass_events(std::string_view bytes) -> void
+{
+    const auto whole = filter_events(events, bytes);
+    exchange->write(whole);
+    if (events.gap) {
+        const auto self = shared_from_this();
+        attempt.cancel();
+        ++runs;
+        end_attempt(attempt_end::lost, target_outcome::failed, "event_gap");
+        return;
+    }
+    if (!paused && exchange->unsent() > parts.settings.max_unsent_bytes) {
+        paused = true;
+        attempt.set_reading(false);
+    }
+}
+
+auto forward_job::on_answer_complete() -> void
+{
+    const auto self = shared_from_this();
+    const auto good = answer_head.status / 100 == 2;
+    if (passing_events) {
+        ++runs;
+        if (!at_event_end(events)) {
+            end_attempt(attempt_end::lost, target_outcome::failed, "event_cut");
+            return;
+        }
+        leave_target(target_outcome::good);
+        exchange->finish();
+        finish(answer_head.status, "answered", "stream_complete");
+        return;
+    }
+    if (answer_head.status == misdirected || answer.not_executed) {
+        end_attempt(attempt_end::not_executed, target_outcome::refused_work,
+                    answer_head.status == misdirected ? "other_target" : "not_executed");
+        return;
+    }
+    ++runs;
+    if (good && !answer.has_receipt) {
+        end_attempt(attempt_end::lost, target_outcome::failed, "no_receipt");
+        return;
+    }
+    if (good && exchange->begun_answer()) {
+        end_attempt(attempt_end::lost, target_outcome::failed, "not_a_stream");
+        return;
+    }
+    if (answer_head.status >= server_error) {
+        end_attempt(attempt_end::target_error, target_outcome::failed, "target_error");
+        return;
+    }
+    if (exchange->begun_answer()) {
+        end_attempt(attempt_end::lost, target_outcome::failed, "resume_refused");
+        return;
+    }
+    end_attempt(attempt_end::answered, target_outcome::good, "answered");
+}
+
+auto forward_job::on_attempt_failed(exchange_failure how) -> void
+{
+    const auto self = shared_from_this();
+    const auto unsent = !attempt.sent() || unsent_failure(how);
+    if (unsent) {
+        end_attempt(attempt_end::not_sent, target_outcome::unreachable,
+                    name_in(exchange_failure_names, how));
+        return;
+    }
+    ++runs;
+    if (how == exchange_failure::reset && !head_seen) {
+        auto seen = strike{};
+        seen.fingerprint = fingerprint;
+        seen.target = target_id;
+        const auto found = parts.view.targets.targets.find(target_id);
+        if (found != parts.view.targets.targets.end()) {
+            seen.target_incarnation =
+                static_cast<incarnation_id>(found->second.published.started_ms);
+        }
+        if (add_strike(parts.view.suspects, seen, monotonic_now()) && parts.spread_strike) {
+            parts.spread_strike(seen);
+        }
+    }
+    end_attempt(attempt_end::lost, target_outcome::failed, name_in(exchange_failure_names, how));
+}
+
+auto forward_job::leave_target(target_outcome health) -> void
+{
+    attempt_timer.reset();
+    if (!std::exchange(at_target, false)) {
+        return;
+    }
+    const auto found = parts.view.targets.targets.find(target_id);
+    if (found != parts.view.targets.targets.end()) {
+        end_request(parts.view.targets, found->second, health,
+                    service != nullptr ? service->cold_time : duration::zero(), monotonic_now());
+    }
+}
+
+auto forward_job::target_left() -> bool
+{
+    auto query = choice_query{};
+    query.service = service->name;
+    query.tried = &tried;
+    query.cold_per_second = service->cold_per_second;
+    query.own_id = parts.view.own_id;
+    query.members = &parts.view.members;
+    return choose_target(parts.view.targets, query, parts.weights, monotonic_now()).chosen !=
+           nullptr;
+}
+
+auto forward_job::spend_retry_for_service() -> bool
+{
+    return spend_retry(parts.view.retry_budgets[service->name], monotonic_now());
+}
+
+auto forward_job::end_attempt(attempt_end end, target_outcome health, std::string_view cause)
+    -> void
+{
+    leave_target(health);
+    auto facts = attempt_facts{};
+    facts.end = end;
+    facts.repeatable = repeatable(*rule);
+    facts.runs = runs;
+    facts.max_runs = rule->max_attempts;
+    facts.sends = sends;
+    facts.time_left = time_left() > duration::zero();
+    facts.target_left = target_left();
+    auto next = after_attempt(facts);
+    if (next == next_step::retry && end != attempt_end::not_sent && !spend_retry_for_service()) {
+        next = without_retry(facts);
+    }
+    log_event(end == attempt_end::answered ? log_level::debug : log_level::info, "attempt_ended",
+              {{"request", request.id},
+               {"target", target_id},
+               {"end", std::string(name_in(attempt_end_names, end))},
+               {"cause", std::string{cause}},
+               {"status", std::to_string(answer_head.status)},
+               {"took_ms", milliseconds_text(monotonic_now() - attempt_begun)},
+               {"runs", std::to_string(runs)},
+               {"next", std::string(name_in(next_step_names, next))}});
+    switch (next) {
+    case next_step::pass_answer:
+        pass_answer();
+        return;
+    case next_step::retry:
+        try_next();
+        return;
+    case next_step::refuse:
+        refuse(cause);
+        return;
+    case next_step::give_up:
+        give_up(bad_gateway, cause);
+        return;
+    }
+}
+
+auto forward_job::pass_answer() -> void
+{
+    if (exchange->begun_answer()) {
+        give_up(bad_gateway, "stream_lost");
+        return;
+    }
+    auto head = answer_head;
+    drop_connection_fields(head.fields);
+    head.keep_alive = true;
+    exchange->answer(std::move(head), answer_body);
+    finish(answer_head.status, answer.not_executed ? "not_run" : "answered", "target_answer");
+}
+
+auto forward_job::refuse(std::string_view cause) -> void
+{
+    // a request that may have run must not be promised as not run
+    if (runs > 0 || exchange->begun_answer()) {
+        give_up(bad_gateway, cause);
+        return;
+    }
+    const auto random = static_cast<double>(parts.random() % 1000) / 1000;
+    answer_own(service_unavailable, refusal_wait(time_left(), random), cause);
+}
+
+auto forward_job::give_up(int status, std::string_view cause) -> void
+{
+    if (exchange->begun_answer()) {
+        exchange->abort();
+        finish(status, "cut", cause);
+        return;
+    }
+    answer_own(status, {}, cause);
+}
+
+auto forward_job::answer_own(int status, duration retry_after, std::string_view cause) -> void
+{
+    exchange->answer(parts.port.encode_refusal(status, retry_after), {});
+    finish(status, status == service_unavailable ? "not_run" : "unknown", cause);
+}
+
+auto forward_job::on_final_time() -> void
+{
+    const auto self = shared_from_this();
+    const auto may_have_run = at_target && attempt.sent();
+    attempt.cancel();
+    if (may_have_run) {
+        ++runs;
+    }
+    leave_target(target_outcome::cancelled);
+    if (runs > 0 || exchange->begun_answer()) {
+        give_up(gateway_timeout, "time_over");
+        return;
+    }
+    refuse("time_over");
+}
+
+auto forward_job::on_caller_gone() -> void
+{
+    const auto self = shared_from_this();
+    attempt.cancel();
+    leave_target(target_outcome::cancelled);
+    constexpr auto client_closed = 499;
+    finish(client_closed, "caller_gone", "caller_closed");
+}
+
+auto forward_job::finish(int status, std::string_view outcome_name, std::string_view cause) -> void
+{
+    if (std::exchange(finished, true)) {
+        return;
+    }
+    const auto now = monotonic_now();
+    const auto first = first_byte_at == time_point{} ? duration::zero() : first_byte_at - arrived;
+    log_event(log_level::info, "request",
+              {{"request", request.id},
+               {"route", rule->name},
+               {"kind", std::string(name_in(route_kind_names, rule->kind))},
+               {"organisation", organisation_name},
+               {"config", std::to_string(routes->version)},
+               {"target", target_id},
+               {"status", std::to_string(status)},
+               {"outcome", std::string{outcome_name}},
+               {"cause", std::string{cause}},
+               {"sends", std::to_string(sends)},
+               {"events", std::to_string(events.passed)},
+               {"first_ms", milliseconds_text(first)},
+               {"took_ms", milliseconds_text(now - arrived)}});
+    parts.metrics
+        .counter_of("cyclamenpost_requests_total", "Requests by outcome.",
+                    {{"kind", std::string(name_in(route_kind_names, rule->kind))},
+                     {"outcome", std::string{outcome_name}}})
+        .add();
+    if (outcome_name == "answered") {
+        clear_strikes(parts.view.suspects, fingerprint, now);
+    }
+    exchange->on_cancelled = nullptr;
+    exchange->on_sent = nullptr;
+    final_timer.reset();
+    attempt_timer.reset();
+    wait_timer.reset();
+    attempt.cancel();
+    parts.jobs.erase(shared_from_this());
+}
+
+} // namespace cyclamenpost::detail
--- /dev/null
+++ b/src/entry/forwarder.cpp
@@ -0,0 +1,126 @@
+#include "cyclamenpost/entry/forwarder.hpp"
+
+#include "cyclamenpost/log.hpp"
+#include "forward_job.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto bad_request = 400;
+constexpr auto unauthorized = 401;
+constexpr auto not_found = 404;
+constexpr auto service_unavailable = 503;
+
+// wait told to callers while no configuration has been read; starting takes about this long
+constexpr duration starting_wait = std::chrono::milliseconds{500};
+
+auto refuse_at_once(const platform_port& port, server_exchange& exchange, int status,
+                    duration retry_after, const caller_request& request, std::string_view cause)
+    -> void
+{
+    log_event(log_level::info, "request_refused",
+              {{"request", request.id},
+               {"status", std::to_string(status)},
+               {"cause", std::string{cause}},
+               {"host", request.host},
+               {"target", exchange.head.target}});
+    exchange.answer(port.encode_refusal(status, retry_after), {});
+}
+
+/// The last part of a prompt that requests share; the part behind it belongs to one request.
+auto shared_part_index(const caller_request& request) -> std::optional<std::size_t>
+{
+    if (request.prompt.size() < 2) {
+        return std::nullopt;
+    }
+    return request.prompt.size() - 2;
+}
+
+auto read_prompt(detail::forward_job& job) -> void
+{
+    const auto last = shared_part_index(job.request);
+    if (!job.rule->affinity || !last) {
+        return;
+    }
+    job.affinity = job.request.prompt[*last].id | 1U;
+    for (std::size_t index = 0; index <= *last; ++index) {
+        job.shared_tokens += job.request.prompt[index].tokens;
+    }
+}
+
+} // namespace
+
+forwarder::forwarder(event_loop& loop, const platform_port& port, fleet_view& view,
+                     forwarder_settings settings, metric_registry& metrics)
+    : parts_(new parts{loop,
+                       port,
+                       view,
+                       settings,
+                       metrics,
+                       http1_client{loop, settings.idle_limit},
+                       {},
+                       std::mt19937_64{hash64(view.own_id, static_cast<std::uint64_t>(
+                                                               wall_clock_ms()))},
+                       {},
+                       {}})
+{}
+
+forwarder::~forwarder()
+{
+    const auto open = std::exchange(parts_->jobs, {});
+    for (const auto& job : open) {
+        job->on_caller_gone();
+    }
+}
+
+auto forwarder::running() const -> std::size_t
+{
+    return parts_->jobs.size();
+}
+
+auto forwarder::on_strike(std::function<void(const strike&)> spread) -> void
+{
+    parts_->spread_strike = std::move(spread);
+}
+
+auto forwarder::handle(std::shared_ptr<server_exchange> exchange) -> void
+{
+    auto& view = parts_->view;
+    const auto& port = parts_->port;
+    auto request = port.decode_request(exchange->head);
+    if (!view.routes) {
+        refuse_at_once(port, *exchange, service_unavailable, starting_wait, request,
+                       "no_configuration");
+        return;
+    }
+    const auto* rule = match_route(*view.routes, request.host, exchange->head.target);
+    if (rule == nullptr) {
+        refuse_at_once(port, *exchange, not_found, {}, request, "no_route");
+        return;
+    }
+    if (request.id.empty()) {
+        refuse_at_once(port, *exchange, bad_request, {}, request, "no_request_id");
+        return;
+    }
+    const auto asks_key = !view.routes->organisations.empty() && !rule->open;
+    const auto* caller = asks_key ? find_organisation(*view.routes, request.key) : nullptr;
+    if (asks_key && caller == nullptr) {
+        refuse_at_once(port, *exchange, unauthorized, {}, request, "unknown_key");
+        return;
+    }
+    auto job = std::make_shared<detail::forward_job>(*parts_);
+    job->exchange = std::move(exchange);
+    job->request = std::move(request);
+    job->routes = view.routes;
+    job->rule = rule;
+    job->service = find_service(*view.routes, choose_service(*rule, hash64(job->request.id)));
+    job->organisation_name = caller != nullptr ? caller->name : std::string{};
+    job->priority =
+        caller != nullptr && caller->priority ? *caller->priority : rule->priority;
+    read_prompt(*job);
+    parts_->jobs.insert(job);
+    job->start();
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/entry/peers.cpp
@@ -0,0 +1,253 @@
+#include "cyclamenpost/entry/peers.hpp"
+
+#include <algorithm>
+#include <random>
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+// one part carries about this many bytes; a larger item travels alone
+constexpr std::size_t part_bytes = 60000;
+// holds the largest item of the store and its envelope
+constexpr std::size_t max_message_bytes = std::size_t{3} << 20U;
+// the own watch usually brings a change before a peer can; it is given this much time
+constexpr duration own_watch_time = std::chrono::milliseconds{400};
+constexpr duration fetch_pause = std::chrono::milliseconds{300};
+// an instance that misses probes is called dead after this time; the directory leaves it out as
+// soon as it is suspected
+constexpr duration suspicion_time = std::chrono::milliseconds{2500};
+constexpr duration probe_timeout = std::chrono::milliseconds{250};
+constexpr duration revive_period = std::chrono::seconds{1};
+constexpr duration forget_time = std::chrono::seconds{60};
+
+auto own_record(const entry_settings& settings) -> member_record
+{
+    auto seed = std::random_device{};
+    auto record = member_record{};
+    record.identity.id = settings.peer_address;
+    record.identity.incarnation =
+        (static_cast<std::uint64_t>(seed()) << 32U) | static_cast<std::uint64_t>(seed());
+    record.identity.start_ms = static_cast<std::uint64_t>(wall_clock_ms());
+    record.zone = settings.zone;
+    record.region = settings.region;
+    record.bus = settings.peer_address;
+    return record;
+}
+
+auto timing() -> membership_settings
+{
+    auto chosen = membership_settings{};
+    chosen.suspicion_time = suspicion_time;
+    chosen.probe_timeout = probe_timeout;
+    chosen.revive_period = revive_period;
+    chosen.forget_time = forget_time;
+    return chosen;
+}
+
+auto bus_of(const entry_settings& settings, const member_record& self) -> bus_settings
+{
+    auto chosen = bus_settings{};
+    chosen.instance = self.identity.id;
+    chosen.zone = self.zone;
+    chosen.listen_address = settings.peer_address;
+    chosen.incarnation = self.identity.incarnation;
+    chosen.start_ms = self.identity.start_ms;
+    chosen.trusted_network = true;
+    chosen.max_message_bytes = max_message_bytes;
+    return chosen;
+}
+
+auto add_change(wire::published_part& part, const published_item& item) -> std::size_t
+{
+    auto& change = *part.add_changes();
+    change.set_key(item.key);
+    change.set_value(item.value);
+    change.set_revision(item.revision);
+    change.set_removed(item.removed);
+    return item.key.size() + item.value.size();
+}
+
+auto make_cluster(event_loop& loop, const entry_settings& settings) -> cluster_node
+{
+    auto self = own_record(settings);
+    auto bus = bus_of(settings, self);
+    return cluster_node{loop, std::move(self), std::move(bus), timing()};
+}
+
+} // namespace
+
+peers::peers(event_loop& loop, const entry_settings& settings, published_state& state,
+             peer_handlers handlers)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      handlers_(std::move(handlers)),
+      cluster_(make_cluster(loop, settings))
+{}
+
+auto peers::start() -> result<void>
+{
+    auto events = cluster_handlers{};
+    events.on_member = [this](const member_change&) { handlers_.on_members(); };
+    events.on_config_sighting = [this](const config_sighting& seen) { on_sighting(seen); };
+    events.on_message = [this](const wire::envelope& message) { on_message(message); };
+    BOOST_LEAF_CHECK(cluster_.start(std::move(events)));
+    auto seeds = std::vector<member_record>{};
+    for (const auto& address : settings_.seeds) {
+        auto seed = member_record{};
+        seed.identity.id = address;
+        seed.bus = address;
+        // a seed's zone is not known yet; counted as the own, it is probed at once
+        seed.zone = settings_.zone;
+        seeds.push_back(std::move(seed));
+    }
+    cluster_.apply_list(1, seeds);
+    return {};
+}
+
+auto peers::stop() -> void
+{
+    cluster_.stop();
+    fetch_timer_.reset();
+}
+
+auto peers::announce_ready() -> void
+{
+    cluster_.set_http(settings_.front_address);
+}
+
+auto peers::leave() -> void
+{
+    leaving_ = true;
+    cluster_.leave();
+}
+
+auto peers::announce_revision() -> void
+{
+    cluster_.set_config(state_.revision, 0);
+}
+
+auto peers::spread(const strike& seen) -> void
+{
+    auto message = wire::envelope{};
+    message.mutable_strike()->set_fingerprint(seen.fingerprint);
+    message.mutable_strike()->set_target(seen.target);
+    message.mutable_strike()->set_target_incarnation(seen.target_incarnation);
+    for (const auto& member : live_members(cluster_.members())) {
+        if (member.identity.id != settings_.peer_address) {
+            cluster_.send(member.identity.id, message);
+        }
+    }
+}
+
+auto peers::usable() const -> std::vector<directory_entry>
+{
+    auto entries = std::vector<directory_entry>{};
+    for (const auto& member : live_members(cluster_.members())) {
+        if (!member.http.empty()) {
+            entries.push_back({member.zone, member.http});
+        }
+    }
+    return entries;
+}
+
+auto peers::all_ids() const -> std::vector<std::string>
+{
+    auto ids = std::vector<std::string>{settings_.peer_address};
+    for (const auto& [id, entry] : cluster_.members().members) {
+        if (entry.record.identity.start_ms != 0) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+auto peers::on_sighting(const config_sighting& seen) -> void
+{
+    if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < fetch_pause) {
+        return;
+    }
+    if (!handlers_.store_available()) {
+        fetch(seen.from);
+        return;
+    }
+    if (!fetch_timer_.pending()) {
+        fetch_timer_ = loop_.call_after(own_watch_time, [this, seen] {
+            if (state_.revision < seen.version) {
+                fetch(seen.from);
+            }
+        });
+    }
+}
+
+auto peers::fetch(const std::string& from) -> void
+{
+    last_fetch_ = monotonic_now();
+    log_event(log_level::info, "changes_asked",
+              {{"peer", from}, {"after", std::to_string(state_.revision)}});
+    auto message = wire::envelope{};
+    message.mutable_published_fetch()->set_after(state_.revision);
+    cluster_.send(from, message);
+}
+
+auto peers::on_message(const wire::envelope& message) -> void
+{
+    switch (message.body_case()) {
+    case wire::envelope::kPublishedFetch:
+        send_changes(message.from_instance(), message.published_fetch().after());
+        return;
+    case wire::envelope::kPublishedPart:
+        take_changes(message.published_part());
+        return;
+    case wire::envelope::kStrike:
+        handlers_.on_strike({message.strike().fingerprint(), message.strike().target(),
+                             message.strike().target_incarnation()});
+        return;
+    default:
+        log_event(log_level::warning, "message_unknown", {{"peer", message.from_instance()}});
+    }
+}
+
+auto peers::send_changes(const std::string& to, std::uint64_t after) -> void
+{
+    const auto changes = changes_after(state_, after);
+    auto message = wire::envelope{};
+    auto* part = message.mutable_published_part();
+    auto size = std::size_t{0};
+    const auto flush = [&](bool last) {
+        part->set_after(after);
+        part->set_revision(state_.revision);
+        part->set_last(last);
+        cluster_.send(to, message);
+        part->clear_changes();
+        size = 0;
+    };
+    for (const auto& item : changes) {
+        if (size > 0 && size + item.value.size() > part_bytes) {
+            flush(false);
+        }
+        size += add_change(*part, item);
+    }
+    flush(true);
+}
+
+auto peers::take_changes(const wire::published_part& part) -> void
+{
+    auto items = std::vector<published_item>{};
+    for (const auto& change : part.changes()) {
+        items.push_back({change.key(), change.value(), change.revision(), change.removed()});
+    }
+    const auto revision = part.last() ? part.revision() : 0;
+    const auto changed = apply_changes(state_, part.after(), revision, items);
+    if (part.last()) {
+        log_event(log_level::info, "changes_taken",
+                  {{"revision", std::to_string(state_.revision)},
+                   {"changed", std::to_string(changed.size())}});
+    }
+    handlers_.on_changed(changed);
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/entry/store_reader.cpp
@@ -0,0 +1,215 @@
+#include "cyclamenpost/entry/store_reader.hpp"
+
+#include <algorithm>
+
+#include "cyclamenpost/log.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto ok = 200;
+constexpr auto gone = 410;
+// removals kept for peers that fell behind
+constexpr std::size_t kept_removals = 2000;
+constexpr duration idle_limit = std::chrono::seconds{30};
+
+} // namespace
+
+store_reader::store_reader(event_loop& loop, const platform_port& port, store_settings settings,
+                           published_state& state, store_handlers handlers)
+    : loop_(loop),
+      port_(port),
+      settings_(std::move(settings)),
+      state_(state),
+      handlers_(std::move(handlers)),
+      client_(loop, idle_limit)
+{}
+
+auto store_reader::start() -> void
+{
+    stopped_ = false;
+    list_page();
+}
+
+auto store_reader::stop() -> void
+{
+    stopped_ = true;
+    exchange_.cancel();
+    limit_timer_.reset();
+    pause_timer_.reset();
+}
+
+auto store_reader::available() const -> bool
+{
+    return available_;
+}
+
+auto store_reader::last_away() const -> std::optional<time_point>
+{
+    return last_away_;
+}
+
+auto store_reader::renew() -> void
+{
+    if (!stopped_ && listed_ && exchange_ && state_.revision > watched_after_) {
+        exchange_.cancel();
+        limit_timer_.reset();
+        watch();
+    }
+}
+
+auto store_reader::call(const request_head& head, duration limit,
+                        void (store_reader::*on_answer)()) -> void
+{
+    body_.clear();
+    status_ = 0;
+    ++calls_;
+    auto request = outgoing_request{};
+    request.address = settings_.address;
+    request.head = head;
+    auto handlers = exchange_handlers{};
+    handlers.on_head = [this](response_head& answer) { status_ = answer.status; };
+    handlers.on_body = [this](std::string_view bytes) { body_ += bytes; };
+    handlers.on_complete = [this, on_answer] {
+        limit_timer_.reset();
+        (this->*on_answer)();
+    };
+    handlers.on_failed = [this](exchange_failure how) {
+        limit_timer_.reset();
+        fail(name_in(exchange_failure_names, how));
+    };
+    const auto sent = try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(exchange_, client_.send(request, std::move(handlers)));
+            return {};
+        },
+        [](const error& failure) { log_error("store_call", failure); });
+    if (!sent) {
+        fail("no_connection");
+        return;
+    }
+    limit_timer_ = loop_.call_after(limit, [this] {
+        exchange_.cancel();
+        fail("no_answer");
+    });
+}
+
+auto store_reader::list_page() -> void
+{
+    if (page_after_.empty()) {
+        listed_items_.clear();
+    }
+    call(port_.list_request(port_.store_prefixes[prefix_], page_after_), settings_.answer_limit,
+         &store_reader::on_listing);
+}
+
+auto store_reader::on_listing() -> void
+{
+    const auto page = status_ == ok ? port_.decode_listing(body_) : std::nullopt;
+    if (!page) {
+        page_after_.clear();
+        fail("status_" + std::to_string(status_));
+        return;
+    }
+    set_available(true, "listed");
+    if (page_after_.empty()) {
+        listing_revision_ = page->revision;
+    }
+    listed_items_.insert(listed_items_.end(), page->items.begin(), page->items.end());
+    if (page->more && !page->items.empty()) {
+        page_after_ = page->items.back().key;
+        list_page();
+        return;
+    }
+    page_after_.clear();
+    const auto changed = apply_listing(state_, port_.store_prefixes[prefix_], listing_revision_,
+                                       std::exchange(listed_items_, {}));
+    state_.revision = std::max(state_.revision, listing_revision_);
+    listed_ = true;
+    log_event(log_level::info, "store_listed",
+              {{"revision", std::to_string(listing_revision_)},
+               {"items", std::to_string(state_.items.size())},
+               {"changed", std::to_string(changed.size())}});
+    handlers_.on_changed(changed);
+    watch();
+}
+
+auto store_reader::watch() -> void
+{
+    if (stopped_) {
+        return;
+    }
+    watched_after_ = state_.revision;
+    call(port_.watch_request(port_.store_prefixes[prefix_], watched_after_, settings_.watch_wait),
+         settings_.watch_wait + settings_.answer_limit, &store_reader::on_changes);
+}
+
+auto store_reader::on_changes() -> void
+{
+    if (status_ == gone) {
+        log_event(log_level::warning, "store_history_gone",
+                  {{"after", std::to_string(watched_after_)}});
+        listed_ = false;
+        list_page();
+        return;
+    }
+    const auto changes = status_ == ok ? port_.decode_changes(body_) : std::nullopt;
+    if (!changes) {
+        fail("status_" + std::to_string(status_));
+        return;
+    }
+    set_available(true, "watched");
+    const auto changed =
+        apply_changes(state_, watched_after_, changes->revision, changes->items);
+    forget_removals(state_, kept_removals);
+    if (!changed.empty()) {
+        handlers_.on_changed(changed);
+    }
+    if (changes->items.empty()) {
+        watch();
+        return;
+    }
+    pause_timer_ = loop_.call_after(settings_.gather_time, [this] { watch(); });
+}
+
+auto store_reader::fail(std::string_view cause) -> void
+{
+    if (stopped_) {
+        return;
+    }
+    set_available(false, cause);
+    last_away_ = monotonic_now();
+    const auto doubled = settings_.first_pause * (1U << std::min(failures_, 5U));
+    ++failures_;
+    const auto pause = std::min(doubled, settings_.longest_pause);
+    pause_timer_ = loop_.call_after(pause, [this] {
+        if (listed_) {
+            watch();
+        }
+        else {
+            list_page();
+        }
+    });
+}
+
+auto store_reader::set_available(bool now_available, std::string_view cause) -> void
+{
+    if (now_available) {
+        failures_ = 0;
+    }
+    if (std::exchange(available_, now_available) == now_available) {
+        return;
+    }
+    if (now_available && last_away_) {
+        last_away_ = monotonic_now();
+    }
+    log_event(now_available ? log_level::info : log_level::warning,
+              now_available ? "store_reached" : "store_lost",
+              {{"peer", settings_.address},
+               {"cause", std::string{cause}},
+               {"revision", std::to_string(state_.revision)}});
+    handlers_.on_available(now_available);
+}
+
+} // namespace cyclamenpost
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -100,9 +100,11 @@
     return 0;
 }
 
-const std::array<lws_protocols, 3> client_protocols{{
+const std::array<lws_protocols, 5> client_protocols{{
     {"http-client", detail::on_client_event, 0, 0, 0, nullptr, 0},
     {"descriptor", on_descriptor, 0, 0, 0, nullptr, 0},
+    {"tcp", detail::on_tcp_event, 0, 0, 0, nullptr, 0},
+    {"tcp-accept", detail::on_tcp_accept, 0, 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
@@ -258,6 +260,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     state_->signal_descriptor = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
     return watch_descriptor(state_->signal_descriptor, [this, on_signal = std::move(on_signal)] {
--- a/src/http_detail.hpp
+++ b/src/http_detail.hpp
@@ -12,6 +12,14 @@
 auto on_client_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
                      std::size_t length) -> int;
 
+/// Callback of libwebsockets for adopted TCP descriptors.
+auto on_tcp_event(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
+    -> int;
+
+/// Callback of libwebsockets for listening descriptors.
+auto on_tcp_accept(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
+    -> int;
+
 /// Reads a header that libwebsockets knows by token. Returns an empty string when it is absent.
 auto known_header(lws* wsi, lws_token_indexes token) -> std::string;
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -570,6 +570,18 @@
     return step;
 }
 
+auto set_caller_address(membership_state& state, std::string http, time_point now) -> void
+{
+    if (state.self.http == http) {
+        return;
+    }
+    detail::toggle_hash(state, state.self);
+    state.self.http = std::move(http);
+    ++state.self.refutation;
+    detail::toggle_hash(state, state.self);
+    detail::announce(state, state.self.identity.id, now);
+}
+
 auto set_config_version(membership_state& state, std::uint64_t version, std::uint64_t digest)
     -> void
 {
--- /dev/null
+++ b/src/transport/http1.cpp
@@ -0,0 +1,400 @@
+#include "cyclamenpost/transport/http1.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <http_parser.h>
+#include <strings.h>
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
+    "Upgrade",    "Content-Length", "Proxy-Authorization"};
+
+auto is_token_character(char character) -> bool
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+           (character >= '0' && character <= '9') || others.find(character) != others.npos;
+}
+
+auto is_token(std::string_view text) -> bool
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+auto trim(std::string_view text) -> std::string_view
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+auto append_fields(std::string& text, const header_fields& fields) -> void
+{
+    for (const auto& field : fields) {
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+}
+
+template <typename Visit>
+auto for_each_token(std::string_view list, Visit&& visit) -> void
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        visit(trim(list.substr(0, comma)));
+        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+    }
+}
+
+} // namespace
+
+auto same_name(std::string_view left, std::string_view right) -> bool
+{
+    return left.size() == right.size() &&
+           strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+auto find_field(const header_fields& fields, std::string_view name)
+    -> std::optional<std::string_view>
+{
+    for (const auto& field : fields) {
+        if (same_name(field.name, name)) {
+            return field.value;
+        }
+    }
+    return std::nullopt;
+}
+
+auto has_token(const header_fields& fields, std::string_view name, std::string_view token) -> bool
+{
+    auto found = false;
+    for (const auto& field : fields) {
+        if (same_name(field.name, name)) {
+            for_each_token(field.value,
+                           [&](std::string_view item) { found = found || same_name(item, token); });
+        }
+    }
+    return found;
+}
+
+auto drop_connection_fields(header_fields& fields) -> void
+{
+    auto named = std::vector<std::string>{};
+    for (const auto& field : fields) {
+        if (same_name(field.name, "Connection")) {
+            for_each_token(field.value, [&](std::string_view item) { named.emplace_back(item); });
+        }
+    }
+    std::erase_if(fields, [&](const header_field& field) {
+        const auto is_field = [&](std::string_view name) { return same_name(field.name, name); };
+        return std::any_of(connection_fields.begin(), connection_fields.end(), is_field) ||
+               std::any_of(named.begin(), named.end(), is_field);
+    });
+}
+
+auto write_request_head(const request_head& head, std::size_t body_bytes) -> std::string
+{
+    auto text = head.method + " " + head.target + " HTTP/1.1\r\n";
+    append_fields(text, head.fields);
+    const auto has_body = body_bytes > 0 || head.method == "POST" || head.method == "PUT" ||
+                          head.method == "PATCH";
+    if (has_body) {
+        text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
+    }
+    if (!head.keep_alive) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    return text;
+}
+
+auto write_response_head(const response_head& head, body_framing framing, std::size_t body_bytes)
+    -> std::string
+{
+    const auto* reason = http_status_str(static_cast<http_status>(head.status));
+    auto text = "HTTP/1.1 " + std::to_string(head.status) + " " + reason + "\r\n";
+    append_fields(text, head.fields);
+    if (framing == body_framing::chunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    }
+    else {
+        text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
+    }
+    if (!head.keep_alive) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    return text;
+}
+
+auto write_chunk(std::string_view bytes) -> std::string
+{
+    auto size = std::array<char, 17>{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    auto text = std::string(size.data(), end);
+    text.reserve(text.size() + bytes.size() + 4);
+    text.append("\r\n").append(bytes).append("\r\n");
+    return text;
+}
+
+struct http1_parser::state {
+    http_parser parser{};
+    http_parser_settings settings{};
+    kind parsed = kind::request;
+    http1_handlers handlers;
+    std::size_t max_header_bytes = 0;
+    request_head request;
+    response_head response;
+    bool in_value = false;
+    bool in_head = false;
+    bool in_message = false;
+    bool no_body = false;
+    bool complete = false;
+    bool has_length = false;
+    bool has_encoding = false;
+    std::size_t header_bytes = 0;
+    parse_failure failure = parse_failure::none;
+
+    auto fields() -> header_fields&
+    {
+        return parsed == kind::request ? request.fields : response.fields;
+    }
+    auto begin() -> int;
+    auto add_header_bytes(std::size_t count) -> int;
+    auto add_name(std::string_view part) -> int;
+    auto add_value(std::string_view part) -> int;
+    auto check_fields() -> bool;
+    auto end_head() -> int;
+    auto end_message() -> int;
+};
+
+auto http1_parser::state::begin() -> int
+{
+    request = {};
+    response = {};
+    in_value = false;
+    in_head = true;
+    in_message = true;
+    complete = false;
+    header_bytes = 0;
+    return 0;
+}
+
+auto http1_parser::state::add_header_bytes(std::size_t count) -> int
+{
+    header_bytes += count;
+    if (header_bytes > max_header_bytes) {
+        failure = parse_failure::header_too_large;
+        return 1;
+    }
+    return 0;
+}
+
+auto http1_parser::state::add_name(std::string_view part) -> int
+{
+    if (!in_head) {
+        return 0; // trailers carry nothing that is passed on
+    }
+    if (in_value || fields().empty()) {
+        fields().emplace_back();
+        in_value = false;
+    }
+    fields().back().name += part;
+    return add_header_bytes(part.size());
+}
+
+auto http1_parser::state::add_value(std::string_view part) -> int
+{
+    if (!in_head) {
+        return 0;
+    }
+    in_value = true;
+    fields().back().value += part;
+    return add_header_bytes(part.size());
+}
+
+auto http1_parser::state::check_fields() -> bool
+{
+    auto lengths = 0;
+    for (auto& field : fields()) {
+        field.value = trim(field.value);
+        lengths += same_name(field.name, "Content-Length") ? 1 : 0;
+        has_encoding = has_encoding || same_name(field.name, "Transfer-Encoding");
+        if (!is_token(field.name) || field.value.find_first_of("\r\n") != std::string::npos) {
+            return false;
+        }
+    }
+    has_length = lengths > 0;
+    // two framings in one message let a request hide inside another
+    return lengths <= 1 && !(has_length && has_encoding);
+}
+
+auto http1_parser::state::end_head() -> int
+{
+    in_head = false;
+    has_length = false;
+    has_encoding = false;
+    if (!check_fields()) {
+        failure = parse_failure::malformed;
+        return -1;
+    }
+    const auto keep = http_should_keep_alive(&parser) != 0;
+    if (parsed == kind::request) {
+        request.method = http_method_str(static_cast<http_method>(parser.method));
+        request.keep_alive = keep;
+    }
+    else {
+        response.status = static_cast<int>(parser.status_code);
+        response.keep_alive = keep;
+        const auto bodiless = no_body || response.status / 100 == 1 || response.status == 204 ||
+                              response.status == 304;
+        response.until_close = !bodiless && !has_length && !has_encoding;
+    }
+    if (handlers.on_head) {
+        handlers.on_head();
+    }
+    return parsed == kind::response && no_body ? 1 : 0;
+}
+
+auto http1_parser::state::end_message() -> int
+{
+    in_message = false;
+    complete = true;
+    http_parser_pause(&parser, 1);
+    return 0;
+}
+
+http1_parser::http1_parser(kind parsed, http1_handlers handlers, std::size_t max_header_bytes)
+    : state_(std::make_unique<state>())
+{
+    auto& own = *state_;
+    own.parsed = parsed;
+    own.handlers = std::move(handlers);
+    own.max_header_bytes = max_header_bytes;
+    http_parser_init(&own.parser, parsed == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    own.parser.data = &own;
+    http_parser_settings_init(&own.settings);
+    own.settings.on_message_begin = [](http_parser* p) {
+        return static_cast<state*>(p->data)->begin();
+    };
+    own.settings.on_url = [](http_parser* p, const char* at, std::size_t size) {
+        auto* current = static_cast<state*>(p->data);
+        current->request.target.append(at, size);
+        return current->add_header_bytes(size);
+    };
+    own.settings.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
+        return static_cast<state*>(p->data)->add_name({at, size});
+    };
+    own.settings.on_header_value = [](http_parser* p, const char* at, std::size_t size) {
+        return static_cast<state*>(p->data)->add_value({at, size});
+    };
+    own.settings.on_headers_complete = [](http_parser* p) {
+        return static_cast<state*>(p->data)->end_head();
+    };
+    own.settings.on_body = [](http_parser* p, const char* at, std::size_t size) {
+        auto* current = static_cast<state*>(p->data);
+        if (current->handlers.on_body) {
+            current->handlers.on_body({at, size});
+        }
+        return 0;
+    };
+    own.settings.on_message_complete = [](http_parser* p) {
+        return static_cast<state*>(p->data)->end_message();
+    };
+}
+
+http1_parser::~http1_parser() = default;
+
+auto http1_parser::parse(std::string_view bytes) -> std::size_t
+{
+    auto& own = *state_;
+    if (own.failure != parse_failure::none) {
+        return 0;
+    }
+    if (HTTP_PARSER_ERRNO(&own.parser) == HPE_PAUSED) {
+        http_parser_pause(&own.parser, 0);
+    }
+    if (!own.in_message) {
+        // a new message may follow one that asked to close; whether it counts is the owner's choice
+        http_parser_init(&own.parser,
+                         own.parsed == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        own.parser.data = &own;
+    }
+    own.complete = false;
+    auto used = http_parser_execute(&own.parser, &own.settings, bytes.data(), bytes.size());
+    const auto code = HTTP_PARSER_ERRNO(&own.parser);
+    if (code == HPE_PAUSED && own.complete) {
+        own.complete = false;
+        if (own.handlers.on_complete) {
+            own.handlers.on_complete();
+        }
+        return used;
+    }
+    if (own.parser.upgrade != 0 && own.complete) {
+        return used;
+    }
+    if (code != HPE_OK) {
+        if (own.failure == parse_failure::none) {
+            own.failure = code == HPE_HEADER_OVERFLOW ? parse_failure::header_too_large
+                                                      : parse_failure::malformed;
+        }
+    }
+    return used;
+}
+
+auto http1_parser::finish() -> bool
+{
+    auto& own = *state_;
+    if (!own.in_message || own.failure != parse_failure::none) {
+        return own.in_message;
+    }
+    if (HTTP_PARSER_ERRNO(&own.parser) == HPE_PAUSED) {
+        http_parser_pause(&own.parser, 0);
+    }
+    own.complete = false;
+    http_parser_execute(&own.parser, &own.settings, nullptr, 0);
+    if (own.complete) {
+        own.complete = false;
+        if (own.handlers.on_complete) {
+            own.handlers.on_complete();
+        }
+        return false;
+    }
+    return own.in_message;
+}
+
+auto http1_parser::expect_no_body(bool none) -> void
+{
+    state_->no_body = none;
+}
+
+auto http1_parser::request() -> request_head&
+{
+    return state_->request;
+}
+
+auto http1_parser::response() -> response_head&
+{
+    return state_->response;
+}
+
+auto http1_parser::in_message() const -> bool
+{
+    return state_->in_message;
+}
+
+auto http1_parser::failure() const -> parse_failure
+{
+    return state_->failure;
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/transport/http1_client.cpp
@@ -0,0 +1,377 @@
+#include "cyclamenpost/transport/http1_client.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cyclamenpost {
+
+namespace {
+
+// peers' heads are small; a larger one is not an answer of the protocol
+constexpr std::size_t max_response_header_bytes = 65536;
+// an idle connection is given up this much before the peer would close it
+constexpr duration keep_alive_margin = std::chrono::milliseconds{700};
+constexpr duration sweep_period = std::chrono::seconds{1};
+
+auto failure_of(close_reason reason) -> exchange_failure
+{
+    switch (reason) {
+    case close_reason::refused:
+        return exchange_failure::refused;
+    case close_reason::unreachable:
+        return exchange_failure::unreachable;
+    case close_reason::reset:
+        return exchange_failure::reset;
+    case close_reason::finished:
+        return exchange_failure::cut_short;
+    }
+    return exchange_failure::reset;
+}
+
+/// Seconds of "timeout=N" in a Keep-Alive header.
+auto keep_alive_seconds(const header_fields& fields) -> std::optional<int>
+{
+    const auto value = find_field(fields, "Keep-Alive");
+    if (!value) {
+        return std::nullopt;
+    }
+    const auto at = value->find("timeout=");
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value->substr(at + 8);
+    auto seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return parsed.ec == std::errc{} ? std::optional{seconds} : std::nullopt;
+}
+
+} // namespace
+
+namespace detail {
+
+struct client_pool;
+
+struct client_connection : std::enable_shared_from_this<client_connection> {
+    std::weak_ptr<client_pool> pool;
+    std::string address;
+    tcp_connection tcp;
+    std::unique_ptr<http1_parser> parser;
+    exchange_handlers handlers;
+    std::uint64_t number = 0;
+    std::uint64_t sent_before = 0;
+    bool busy = false;
+    bool used_before = false;
+    bool skipping = false;
+    bool reusable = true;
+    duration idle_limit{};
+    time_point idle_since{};
+
+    auto open(event_loop& loop) -> result<void>;
+    auto begin(const outgoing_request& request, exchange_handlers events) -> void;
+    auto on_bytes(std::string_view bytes) -> void;
+    auto on_closed(close_reason reason) -> void;
+    auto on_head() -> void;
+    auto on_complete() -> void;
+    auto fail(exchange_failure how) -> void;
+    auto drop() -> void;
+};
+
+struct client_pool {
+    event_loop* loop = nullptr;
+    duration idle_limit{};
+    client_counters counters;
+    std::map<std::string, std::vector<std::shared_ptr<client_connection>>> idle;
+
+    auto take_idle(const std::string& address) -> std::shared_ptr<client_connection>;
+    auto keep(std::shared_ptr<client_connection> connection) -> void;
+    auto remove(const client_connection* connection) -> void;
+    auto sweep() -> void;
+};
+
+auto client_connection::open(event_loop& loop) -> result<void>
+{
+    BOOST_LEAF_ASSIGN(tcp, connect_tcp(loop, address));
+    auto parsing = http1_handlers{};
+    parsing.on_head = [this] { on_head(); };
+    parsing.on_body = [this](std::string_view bytes) {
+        if (!skipping && busy && handlers.on_body) {
+            const auto receive = handlers.on_body;
+            receive(bytes);
+        }
+    };
+    parsing.on_complete = [this] { on_complete(); };
+    parser = std::make_unique<http1_parser>(http1_parser::kind::response, std::move(parsing),
+                                            max_response_header_bytes);
+    auto events = tcp_handlers{};
+    events.on_bytes = [this](std::string_view bytes) {
+        const auto self = shared_from_this();
+        on_bytes(bytes);
+    };
+    events.on_closed = [this](close_reason reason) {
+        const auto self = shared_from_this();
+        on_closed(reason);
+    };
+    tcp.set_handlers(std::move(events));
+    return {};
+}
+
+auto client_connection::begin(const outgoing_request& request, exchange_handlers events) -> void
+{
+    handlers = std::move(events);
+    busy = true;
+    skipping = false;
+    ++number;
+    sent_before = tcp.sent();
+    parser->expect_no_body(request.head.method == "HEAD");
+    tcp.send(write_request_head(request.head, request.body.size()) + request.body);
+}
+
+auto client_connection::on_bytes(std::string_view bytes) -> void
+{
+    while (!bytes.empty()) {
+        if (!busy) {
+            if (const auto owner = pool.lock()) {
+                ++owner->counters.extra_answers;
+            }
+            drop();
+            return;
+        }
+        const auto used = parser->parse(bytes);
+        if (parser->failure() != parse_failure::none) {
+            fail(exchange_failure::garbled);
+            return;
+        }
+        if (!tcp) {
+            return;
+        }
+        bytes.remove_prefix(used);
+    }
+}
+
+auto client_connection::on_closed(close_reason reason) -> void
+{
+    if (!busy) {
+        drop();
+        return;
+    }
+    // a body without a length is whole only when the peer finished in order
+    const auto whole = reason == close_reason::finished && parser->in_message() &&
+                       parser->response().until_close && !skipping;
+    reusable = false;
+    if (!whole || parser->finish()) {
+        fail(failure_of(reason));
+    }
+}
+
+auto client_connection::on_head() -> void
+{
+    auto& head = parser->response();
+    skipping = head.status / 100 == 1 || !busy || (handlers.is_own && !handlers.is_own(head));
+    if (skipping) {
+        reusable = reusable && head.status / 100 == 1;
+        return;
+    }
+    reusable = reusable && head.keep_alive && !head.until_close;
+    if (const auto seconds = keep_alive_seconds(head.fields)) {
+        idle_limit = std::min<duration>(idle_limit,
+                                        std::chrono::seconds{*seconds} - keep_alive_margin);
+    }
+    if (handlers.on_head) {
+        const auto receive = handlers.on_head;
+        receive(head);
+    }
+}
+
+auto client_connection::on_complete() -> void
+{
+    if (skipping || !busy) {
+        return;
+    }
+    busy = false;
+    const auto events = std::exchange(handlers, {});
+    const auto owner = pool.lock();
+    const auto keep = owner && reusable && tcp && tcp.unsent() == 0 &&
+                      idle_limit > duration::zero();
+    if (keep) {
+        idle_since = monotonic_now();
+        owner->keep(shared_from_this());
+    }
+    else {
+        tcp.close();
+    }
+    if (events.on_complete) {
+        events.on_complete();
+    }
+}
+
+auto client_connection::fail(exchange_failure how) -> void
+{
+    const auto events = std::exchange(handlers, {});
+    const auto was_busy = std::exchange(busy, false);
+    drop();
+    if (was_busy && events.on_failed) {
+        events.on_failed(how);
+    }
+}
+
+auto client_connection::drop() -> void
+{
+    tcp.close();
+    if (const auto owner = pool.lock()) {
+        owner->remove(this);
+    }
+}
+
+auto client_pool::take_idle(const std::string& address) -> std::shared_ptr<client_connection>
+{
+    auto found = idle.find(address);
+    const auto now = monotonic_now();
+    while (found != idle.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection->tcp && now - connection->idle_since < connection->idle_limit) {
+            return connection;
+        }
+        connection->tcp.close();
+    }
+    return nullptr;
+}
+
+auto client_pool::keep(std::shared_ptr<client_connection> connection) -> void
+{
+    idle[connection->address].push_back(std::move(connection));
+}
+
+auto client_pool::remove(const client_connection* connection) -> void
+{
+    const auto found = idle.find(connection->address);
+    if (found != idle.end()) {
+        std::erase_if(found->second,
+                      [&](const auto& kept) { return kept.get() == connection; });
+    }
+}
+
+auto client_pool::sweep() -> void
+{
+    const auto now = monotonic_now();
+    for (auto next = idle.begin(); next != idle.end();) {
+        std::erase_if(next->second, [&](const auto& connection) {
+            const auto old = now - connection->idle_since >= connection->idle_limit;
+            if (old) {
+                connection->tcp.close();
+            }
+            return old;
+        });
+        next = next->second.empty() ? idle.erase(next) : std::next(next);
+    }
+}
+
+} // namespace detail
+
+client_exchange::client_exchange() noexcept = default;
+client_exchange::client_exchange(client_exchange&&) noexcept = default;
+
+auto client_exchange::operator=(client_exchange&& other) noexcept -> client_exchange&
+{
+    if (this != &other) {
+        cancel();
+        connection_ = std::move(other.connection_);
+        number_ = other.number_;
+    }
+    return *this;
+}
+
+client_exchange::~client_exchange()
+{
+    cancel();
+}
+
+client_exchange::operator bool() const
+{
+    return connection_ && connection_->busy && connection_->number == number_;
+}
+
+auto client_exchange::sent() const -> bool
+{
+    return connection_ &&
+           (connection_->number != number_ || connection_->tcp.sent() > connection_->sent_before);
+}
+
+auto client_exchange::connected() const -> bool
+{
+    return connection_ && connection_->tcp.connected();
+}
+
+auto client_exchange::reused() const -> bool
+{
+    return connection_ && connection_->used_before;
+}
+
+auto client_exchange::set_reading(bool wanted) -> void
+{
+    if (*this) {
+        connection_->tcp.set_reading(wanted);
+    }
+}
+
+auto client_exchange::cancel() -> void
+{
+    if (*this) {
+        connection_->handlers = {};
+        connection_->busy = false;
+        connection_->drop();
+    }
+    connection_.reset();
+}
+
+http1_client::http1_client(event_loop& loop, duration idle_limit)
+    : pool_(std::make_shared<detail::client_pool>())
+{
+    pool_->loop = &loop;
+    pool_->idle_limit = idle_limit;
+    sweep_ = loop.call_every(sweep_period, [pool = pool_.get()] { pool->sweep(); });
+}
+
+http1_client::~http1_client()
+{
+    pool_->idle.clear();
+}
+
+auto http1_client::send(const outgoing_request& request, exchange_handlers handlers)
+    -> result<client_exchange>
+{
+    auto connection = std::shared_ptr<detail::client_connection>{};
+    if (!request.fresh_connection) {
+        connection = pool_->take_idle(request.address);
+    }
+    if (connection) {
+        ++pool_->counters.reused;
+        connection->used_before = true;
+    }
+    else {
+        connection = std::make_shared<detail::client_connection>();
+        connection->pool = pool_;
+        connection->address = request.address;
+        connection->idle_limit = pool_->idle_limit;
+        BOOST_LEAF_CHECK(connection->open(*pool_->loop));
+        ++pool_->counters.opened;
+    }
+    connection->begin(request, std::move(handlers));
+    auto exchange = client_exchange{};
+    exchange.number_ = connection->number;
+    exchange.connection_ = std::move(connection);
+    return exchange;
+}
+
+auto http1_client::forget(const std::string& address) -> void
+{
+    pool_->idle.erase(address);
+}
+
+auto http1_client::counters() const -> const client_counters&
+{
+    return pool_->counters;
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/transport/http1_server.cpp
@@ -0,0 +1,413 @@
+#include "cyclamenpost/transport/http1_server.hpp"
+
+#include <set>
+#include <utility>
+
+namespace cyclamenpost {
+
+namespace {
+
+// granularity of the header and idle time limits
+constexpr duration sweep_period = std::chrono::milliseconds{250};
+
+} // namespace
+
+namespace detail {
+
+struct server_state {
+    event_loop* loop = nullptr;
+    server_limits limits;
+    std::function<void(std::shared_ptr<server_exchange>)> on_request;
+    std::set<std::shared_ptr<server_connection>> connections;
+    tcp_listener listener;
+    bool draining = false;
+
+    auto sweep() -> void;
+};
+
+struct server_connection : std::enable_shared_from_this<server_connection> {
+    std::weak_ptr<server_state> server;
+    tcp_connection tcp;
+    std::unique_ptr<http1_parser> parser;
+    std::string peer;
+    std::string waiting;
+    std::string body;
+    std::shared_ptr<server_exchange> reading;
+    /// The request being answered; its owner keeps it.
+    server_exchange* answering = nullptr;
+    bool head_done = false;
+    bool keep_alive = true;
+    bool in_parse = false;
+    bool closing = false;
+    time_point begun{};
+    time_point idle_since{};
+
+    auto open() -> void;
+    auto on_bytes(std::string_view bytes) -> void;
+    auto parse_waiting() -> void;
+    auto on_head() -> void;
+    auto on_body(std::string_view bytes) -> void;
+    auto on_complete() -> void;
+    auto on_closed() -> void;
+    auto reject(int status) -> void;
+    auto next_request() -> void;
+    auto close() -> void;
+};
+
+auto server_connection::open() -> void
+{
+    const auto owner = server.lock();
+    auto parsing = http1_handlers{};
+    parsing.on_head = [this] { on_head(); };
+    parsing.on_body = [this](std::string_view bytes) { on_body(bytes); };
+    parsing.on_complete = [this] { on_complete(); };
+    parser = std::make_unique<http1_parser>(http1_parser::kind::request, std::move(parsing),
+                                            owner->limits.max_header_bytes);
+    idle_since = monotonic_now();
+    auto events = tcp_handlers{};
+    events.on_bytes = [this](std::string_view bytes) {
+        const auto self = shared_from_this();
+        on_bytes(bytes);
+    };
+    events.on_sent = [this] {
+        const auto self = shared_from_this();
+        if (answering != nullptr && answering->on_sent) {
+            answering->on_sent();
+        }
+        else if (closing && answering == nullptr) {
+            close();
+        }
+    };
+    events.on_closed = [this](close_reason) {
+        const auto self = shared_from_this();
+        on_closed();
+    };
+    tcp.set_handlers(std::move(events));
+}
+
+auto server_connection::on_bytes(std::string_view bytes) -> void
+{
+    if (closing) {
+        return;
+    }
+    waiting += bytes;
+    const auto owner = server.lock();
+    // a caller that sends ahead of its answers is held back
+    if (answering != nullptr && owner && waiting.size() > owner->limits.max_header_bytes) {
+        tcp.set_reading(false);
+    }
+    parse_waiting();
+}
+
+auto server_connection::parse_waiting() -> void
+{
+    while (!waiting.empty() && answering == nullptr && !closing && !in_parse) {
+        if (!parser->in_message()) {
+            begun = monotonic_now();
+            head_done = false;
+            body.clear();
+        }
+        in_parse = true;
+        const auto used = parser->parse(waiting);
+        in_parse = false;
+        if (closing) {
+            return;
+        }
+        if (parser->failure() != parse_failure::none) {
+            constexpr auto header_too_large = 431;
+            constexpr auto bad_request = 400;
+            reject(parser->failure() == parse_failure::header_too_large ? header_too_large
+                                                                         : bad_request);
+            return;
+        }
+        waiting.erase(0, used);
+        if (reading) {
+            const auto owner = server.lock();
+            auto request = std::exchange(reading, nullptr);
+            answering = request.get();
+            if (owner) {
+                owner->on_request(std::move(request));
+            }
+        }
+    }
+}
+
+auto server_connection::on_head() -> void
+{
+    head_done = true;
+    const auto expectation = find_field(parser->request().fields, "Expect");
+    if (expectation && same_name(*expectation, "100-continue")) {
+        tcp.send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+auto server_connection::on_body(std::string_view bytes) -> void
+{
+    const auto owner = server.lock();
+    if (owner && body.size() + bytes.size() > owner->limits.max_body_bytes) {
+        constexpr auto content_too_large = 413;
+        reject(content_too_large);
+        return;
+    }
+    body += bytes;
+}
+
+auto server_connection::on_complete() -> void
+{
+    if (closing) {
+        return;
+    }
+    reading = std::make_shared<server_exchange>(shared_from_this());
+    reading->head = std::move(parser->request());
+    reading->body = std::exchange(body, {});
+    reading->peer = peer;
+    reading->begun = begun;
+    reading->arrived = monotonic_now();
+    keep_alive = reading->head.keep_alive;
+}
+
+auto server_connection::on_closed() -> void
+{
+    closing = true;
+    auto* exchange = std::exchange(answering, nullptr);
+    if (const auto owner = server.lock()) {
+        owner->connections.erase(shared_from_this());
+    }
+    if (exchange != nullptr) {
+        exchange->answered_ = true;
+        const auto on_cancelled = std::exchange(exchange->on_cancelled, nullptr);
+        if (on_cancelled) {
+            on_cancelled();
+        }
+    }
+}
+
+/// Answers a request that was not read whole; the rest of the connection has no meaning.
+auto server_connection::reject(int status) -> void
+{
+    auto head = response_head{};
+    head.status = status;
+    head.keep_alive = false;
+    tcp.send(write_response_head(head, body_framing::length, 0));
+    closing = true;
+    if (tcp.unsent() == 0) {
+        close();
+    }
+}
+
+auto server_connection::next_request() -> void
+{
+    answering = nullptr;
+    idle_since = monotonic_now();
+    if (!keep_alive) {
+        closing = true;
+        if (tcp.unsent() == 0) {
+            close();
+        }
+        return;
+    }
+    tcp.set_reading(true);
+    if (!waiting.empty()) {
+        if (const auto owner = server.lock()) {
+            owner->loop->post([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->parse_waiting();
+                }
+            });
+        }
+    }
+}
+
+auto server_connection::close() -> void
+{
+    closing = true;
+    answering = nullptr;
+    tcp.close();
+    if (const auto owner = server.lock()) {
+        owner->connections.erase(shared_from_this());
+    }
+}
+
+auto server_state::sweep() -> void
+{
+    const auto now = monotonic_now();
+    auto idle = std::vector<std::shared_ptr<server_connection>>{};
+    auto late = std::vector<std::shared_ptr<server_connection>>{};
+    for (const auto& connection : connections) {
+        if (connection->answering != nullptr || connection->closing) {
+            continue;
+        }
+        const auto reading = connection->parser->in_message();
+        if (reading && !connection->head_done && now - connection->begun > limits.header_timeout) {
+            late.push_back(connection);
+        }
+        if (!reading && now - connection->idle_since > limits.idle_timeout) {
+            idle.push_back(connection);
+        }
+    }
+    for (const auto& connection : late) {
+        constexpr auto request_timeout = 408;
+        connection->reject(request_timeout);
+    }
+    for (const auto& connection : idle) {
+        connection->close();
+    }
+}
+
+} // namespace detail
+
+server_exchange::server_exchange(std::shared_ptr<detail::server_connection> connection)
+    : connection_(std::move(connection))
+{}
+
+server_exchange::~server_exchange()
+{
+    if (!answered_ && connection_->answering == this) {
+        connection_->close();
+    }
+}
+
+auto server_exchange::answer(response_head response, std::string_view content) -> void
+{
+    if (answered_) {
+        return;
+    }
+    answered_ = true;
+    const auto owner = connection_->server.lock();
+    connection_->keep_alive =
+        connection_->keep_alive && response.keep_alive && owner && !owner->draining;
+    response.keep_alive = connection_->keep_alive;
+    auto text = write_response_head(response, body_framing::length, content.size());
+    if (head.method != "HEAD") {
+        text += content;
+    }
+    connection_->tcp.send(text);
+    connection_->next_request();
+}
+
+auto server_exchange::begin(response_head response) -> void
+{
+    if (answered_ || std::exchange(begun_answer_, true)) {
+        return;
+    }
+    const auto owner = connection_->server.lock();
+    connection_->keep_alive = connection_->keep_alive && owner && !owner->draining;
+    response.keep_alive = connection_->keep_alive;
+    connection_->tcp.send(write_response_head(response, body_framing::chunked, 0));
+}
+
+auto server_exchange::write(std::string_view bytes) -> void
+{
+    if (!answered_ && !bytes.empty()) {
+        connection_->tcp.send(write_chunk(bytes));
+    }
+}
+
+auto server_exchange::finish() -> void
+{
+    if (std::exchange(answered_, true)) {
+        return;
+    }
+    connection_->tcp.send("0\r\n\r\n");
+    connection_->next_request();
+}
+
+auto server_exchange::abort() -> void
+{
+    if (!std::exchange(answered_, true)) {
+        connection_->close();
+    }
+}
+
+auto server_exchange::unsent() const -> std::size_t
+{
+    return connection_->tcp.unsent();
+}
+
+auto server_exchange::answered() const -> bool
+{
+    return answered_;
+}
+
+auto server_exchange::begun_answer() const -> bool
+{
+    return begun_answer_;
+}
+
+http1_server::http1_server(event_loop& loop, server_limits limits,
+                           std::function<void(std::shared_ptr<server_exchange>)> on_request)
+    : state_(std::make_shared<detail::server_state>())
+{
+    state_->loop = &loop;
+    state_->limits = limits;
+    state_->on_request = std::move(on_request);
+    sweep_ = loop.call_every(sweep_period, [state = state_.get()] { state->sweep(); });
+}
+
+http1_server::~http1_server()
+{
+    state_->listener.close();
+    const auto open = std::exchange(state_->connections, {});
+    for (const auto& connection : open) {
+        connection->close();
+    }
+}
+
+auto http1_server::listen(const std::string& address) -> result<void>
+{
+    BOOST_LEAF_ASSIGN(
+        state_->listener,
+        tcp_listener::open(*state_->loop, address,
+                           [weak = std::weak_ptr{state_}](tcp_connection accepted,
+                                                          std::string peer) {
+                               const auto owner = weak.lock();
+                               if (!owner) {
+                                   return;
+                               }
+                               auto connection = std::make_shared<detail::server_connection>();
+                               connection->server = owner;
+                               connection->tcp = std::move(accepted);
+                               connection->peer = std::move(peer);
+                               connection->open();
+                               owner->connections.insert(std::move(connection));
+                           }));
+    return {};
+}
+
+auto http1_server::port() const -> int
+{
+    return state_->listener.port();
+}
+
+auto http1_server::set_limits(server_limits limits) -> void
+{
+    state_->limits = limits;
+}
+
+auto http1_server::begin_drain() -> void
+{
+    state_->draining = true;
+}
+
+auto http1_server::stop_listening() -> void
+{
+    state_->listener.close();
+}
+
+auto http1_server::busy() const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (const auto& connection : state_->connections) {
+        const auto occupied = connection->answering != nullptr ||
+                              connection->parser->in_message() || connection->tcp.unsent() > 0;
+        count += occupied ? 1 : 0;
+    }
+    return count;
+}
+
+auto http1_server::connections() const -> std::size_t
+{
+    return state_->connections.size();
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/src/transport/tcp.cpp
@@ -0,0 +1,505 @@
+#include "cyclamenpost/transport/tcp.hpp"
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <libwebsockets.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace cyclamenpost {
+
+namespace detail {
+
+struct tcp_state : std::enable_shared_from_this<tcp_state> {
+    event_loop* loop = nullptr;
+    lws* wsi = nullptr;
+    int descriptor = -1;
+    tcp_handlers handlers;
+    std::string pending;
+    std::size_t pending_offset = 0;
+    std::uint64_t sent = 0;
+    bool connecting = false;
+    bool in_event = false;
+    bool closing = false;
+    bool writable_wanted = false;
+    /// Keeps the state alive as long as libwebsockets may call back.
+    std::shared_ptr<tcp_state> self;
+
+    auto flush() -> bool;
+    auto want_writable() -> void;
+    auto close() -> void;
+    auto fail(close_reason reason) -> void;
+    auto on_readable() -> void;
+    auto on_writable() -> void;
+};
+
+struct tcp_listener_state : std::enable_shared_from_this<tcp_listener_state> {
+    event_loop* loop = nullptr;
+    lws* wsi = nullptr;
+    int descriptor = -1;
+    int port = 0;
+    std::function<void(tcp_connection, std::string)> on_accept;
+    std::shared_ptr<tcp_listener_state> self;
+
+    auto accept_all() -> void;
+};
+
+} // namespace detail
+
+namespace {
+
+// a peer that acknowledges nothing for this long is gone; under the time a caller gives a stream
+constexpr unsigned user_timeout_ms = 4000;
+// an idle connection is probed after this many seconds, so that one gone silent is noticed
+constexpr int keepalive_seconds = 5;
+constexpr int keepalive_probes = 2;
+constexpr int listen_backlog = 1024;
+constexpr std::size_t read_bytes = 65536;
+// one turn of the loop accepts at most this many connections
+constexpr int accepts_per_turn = 64;
+
+auto parse_address(const std::string& address) -> std::optional<sockaddr_in>
+{
+    const auto split = address.rfind(':');
+    if (split == std::string::npos) {
+        return std::nullopt;
+    }
+    auto result = sockaddr_in{};
+    result.sin_family = AF_INET;
+    auto port = std::uint16_t{0};
+    const auto* last = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + split + 1, last, port);
+    if (parsed.ec != std::errc{} || parsed.ptr != last ||
+        inet_pton(AF_INET, address.substr(0, split).c_str(), &result.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    result.sin_port = htons(port);
+    return result;
+}
+
+auto set_option(int descriptor, int level, int option, int value) -> void
+{
+    // a missing option only delays the notice of a dead peer
+    setsockopt(descriptor, level, option, &value, sizeof value);
+}
+
+auto tune(int descriptor) -> void
+{
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(user_timeout_ms));
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_seconds);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+auto adopt(event_loop& loop, int descriptor, const char* protocol) -> lws*
+{
+    auto file = lws_sock_file_fd_type{};
+    file.filefd = descriptor;
+    return lws_adopt_descriptor_vhost(loop.client_vhost(), LWS_ADOPT_RAW_FILE_DESC, file, protocol,
+                                      nullptr);
+}
+
+auto reason_of(int code) -> close_reason
+{
+    switch (code) {
+    case ECONNREFUSED:
+        return close_reason::refused;
+    case ETIMEDOUT:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+        return close_reason::unreachable;
+    default:
+        return close_reason::reset;
+    }
+}
+
+auto would_block(int code) -> bool
+{
+    return code == EAGAIN || code == EWOULDBLOCK || code == EINTR;
+}
+
+} // namespace
+
+namespace detail {
+
+/// Callback of libwebsockets for adopted TCP descriptors.
+auto on_tcp_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t) -> int
+{
+    auto* raw = static_cast<tcp_state*>(lws_get_opaque_user_data(wsi));
+    if (raw == nullptr) {
+        return 0;
+    }
+    const auto state = raw->shared_from_this();
+    if (reason == LWS_CALLBACK_RAW_CLOSE_FILE) {
+        state->wsi = nullptr;
+        state->closing = true;
+        state->self.reset();
+        return 0;
+    }
+    state->in_event = true;
+    if (reason == LWS_CALLBACK_RAW_RX_FILE && !state->closing) {
+        state->on_readable();
+    }
+    if (reason == LWS_CALLBACK_RAW_WRITEABLE_FILE && !state->closing) {
+        state->on_writable();
+    }
+    state->in_event = false;
+    return state->closing ? -1 : 0;
+}
+
+/// Callback of libwebsockets for listening descriptors.
+auto on_tcp_accept(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t) -> int
+{
+    auto* raw = static_cast<tcp_listener_state*>(lws_get_opaque_user_data(wsi));
+    if (raw == nullptr) {
+        return 0;
+    }
+    const auto state = raw->shared_from_this();
+    if (reason == LWS_CALLBACK_RAW_CLOSE_FILE) {
+        state->wsi = nullptr;
+        state->self.reset();
+    }
+    if (reason == LWS_CALLBACK_RAW_RX_FILE) {
+        state->accept_all();
+    }
+    return 0;
+}
+
+auto tcp_state::want_writable() -> void
+{
+    if (closing || wsi == nullptr) {
+        return;
+    }
+    if (!in_event) {
+        lws_callback_on_writable(wsi);
+        return;
+    }
+    // libwebsockets clears the interest after the callback, so it is renewed on the next turn
+    if (!std::exchange(writable_wanted, true)) {
+        loop->post([weak = weak_from_this()] {
+            const auto state = weak.lock();
+            if (state && !state->closing) {
+                state->writable_wanted = false;
+                lws_callback_on_writable(state->wsi);
+            }
+        });
+    }
+}
+
+auto tcp_state::flush() -> bool
+{
+    while (pending_offset < pending.size()) {
+        const auto count = ::send(descriptor, pending.data() + pending_offset,
+                                  pending.size() - pending_offset, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0) {
+            if (!would_block(errno)) {
+                return false;
+            }
+            want_writable();
+            return true;
+        }
+        pending_offset += static_cast<std::size_t>(count);
+        sent += static_cast<std::uint64_t>(count);
+    }
+    pending.clear();
+    pending_offset = 0;
+    return true;
+}
+
+auto tcp_state::close() -> void
+{
+    if (std::exchange(closing, true)) {
+        return;
+    }
+    handlers = {};
+    if (!in_event && wsi != nullptr) {
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+    }
+}
+
+auto tcp_state::fail(close_reason reason) -> void
+{
+    if (closing) {
+        return;
+    }
+    const auto on_closed = std::move(handlers.on_closed);
+    close();
+    if (on_closed) {
+        on_closed(reason);
+    }
+}
+
+auto tcp_state::on_readable() -> void
+{
+    static auto buffer = std::array<char, read_bytes>{};
+    const auto count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        // the handler may replace itself while it runs
+        const auto on_bytes = handlers.on_bytes;
+        if (on_bytes) {
+            on_bytes({buffer.data(), static_cast<std::size_t>(count)});
+        }
+        return;
+    }
+    if (count == 0) {
+        fail(close_reason::finished);
+        return;
+    }
+    if (!would_block(errno)) {
+        fail(reason_of(errno));
+    }
+}
+
+auto tcp_state::on_writable() -> void
+{
+    if (connecting) {
+        auto code = 0;
+        auto size = socklen_t{sizeof code};
+        getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &code, &size);
+        if (code != 0) {
+            fail(reason_of(code));
+            return;
+        }
+        connecting = false;
+        const auto on_connected = handlers.on_connected;
+        if (on_connected) {
+            on_connected();
+        }
+    }
+    if (closing || pending.empty()) {
+        return;
+    }
+    if (!flush()) {
+        fail(reason_of(errno));
+        return;
+    }
+    const auto on_sent = handlers.on_sent;
+    if (pending.empty() && on_sent) {
+        on_sent();
+    }
+}
+
+auto tcp_listener_state::accept_all() -> void
+{
+    for (auto turn = 0; turn < accepts_per_turn && wsi != nullptr; ++turn) {
+        auto peer = sockaddr_in{};
+        auto size = socklen_t{sizeof peer};
+        const auto accepted = accept4(descriptor, reinterpret_cast<sockaddr*>(&peer), &size,
+                                      SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        tune(accepted);
+        auto state = std::make_shared<tcp_state>();
+        state->loop = loop;
+        state->descriptor = accepted;
+        state->wsi = adopt(*loop, accepted, "tcp");
+        if (state->wsi == nullptr) {
+            continue;
+        }
+        state->self = state;
+        lws_set_opaque_user_data(state->wsi, state.get());
+        auto text = std::array<char, INET_ADDRSTRLEN>{};
+        inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+        on_accept(tcp_connection{std::move(state)},
+                  std::string{text.data()} + ":" + std::to_string(ntohs(peer.sin_port)));
+    }
+}
+
+} // namespace detail
+
+tcp_connection::tcp_connection() noexcept = default;
+tcp_connection::tcp_connection(tcp_connection&& other) noexcept = default;
+
+tcp_connection::tcp_connection(std::shared_ptr<detail::tcp_state> state) : state_(std::move(state))
+{}
+
+auto tcp_connection::operator=(tcp_connection&& other) noexcept -> tcp_connection&
+{
+    if (this != &other) {
+        close();
+        state_ = std::move(other.state_);
+    }
+    return *this;
+}
+
+tcp_connection::~tcp_connection()
+{
+    close();
+}
+
+tcp_connection::operator bool() const
+{
+    return state_ && !state_->closing;
+}
+
+auto tcp_connection::set_handlers(tcp_handlers handlers) -> void
+{
+    if (state_) {
+        state_->handlers = std::move(handlers);
+    }
+}
+
+auto tcp_connection::send(std::string_view bytes) -> void
+{
+    if (!*this || bytes.empty()) {
+        return;
+    }
+    state_->pending.append(bytes);
+    if (state_->connecting || state_->pending.size() > state_->pending_offset + bytes.size()) {
+        return;
+    }
+    if (!state_->flush()) {
+        const auto reason = reason_of(errno);
+        state_->loop->post([state = state_, reason] { state->fail(reason); });
+    }
+}
+
+auto tcp_connection::unsent() const -> std::size_t
+{
+    return state_ ? state_->pending.size() - state_->pending_offset : 0;
+}
+
+auto tcp_connection::sent() const -> std::uint64_t
+{
+    return state_ ? state_->sent : 0;
+}
+
+auto tcp_connection::connected() const -> bool
+{
+    return *this && !state_->connecting;
+}
+
+auto tcp_connection::set_reading(bool wanted) -> void
+{
+    if (*this) {
+        lws_rx_flow_control(state_->wsi, wanted ? 1 : 0);
+    }
+}
+
+auto tcp_connection::close() -> void
+{
+    if (state_) {
+        state_->close();
+        state_.reset();
+    }
+}
+
+auto tcp_connection::reset() -> void
+{
+    if (*this) {
+        const auto at_once = linger{1, 0};
+        setsockopt(state_->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    close();
+}
+
+auto connect_tcp(event_loop& loop, const std::string& address) -> result<tcp_connection>
+{
+    const auto target = parse_address(address);
+    if (!target) {
+        return fail(error_id::connect_failed, step::connect, address, "not an address ip:port");
+    }
+    const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return fail(error_id::connect_failed, step::connect, address, std::strerror(errno));
+    }
+    tune(descriptor);
+    const auto started =
+        connect(descriptor, reinterpret_cast<const sockaddr*>(&*target), sizeof *target);
+    if (started != 0 && errno != EINPROGRESS) {
+        const auto message = std::string{std::strerror(errno)};
+        ::close(descriptor);
+        return fail(error_id::connect_failed, step::connect, address, message);
+    }
+    auto state = std::make_shared<detail::tcp_state>();
+    state->loop = &loop;
+    state->descriptor = descriptor;
+    state->connecting = true;
+    state->wsi = adopt(loop, descriptor, "tcp");
+    if (state->wsi == nullptr) {
+        return fail(error_id::connect_failed, step::connect, address, "the loop is full");
+    }
+    state->self = state;
+    lws_set_opaque_user_data(state->wsi, state.get());
+    state->want_writable();
+    return tcp_connection{std::move(state)};
+}
+
+tcp_listener::tcp_listener() noexcept = default;
+tcp_listener::tcp_listener(tcp_listener&&) noexcept = default;
+
+auto tcp_listener::operator=(tcp_listener&& other) noexcept -> tcp_listener&
+{
+    if (this != &other) {
+        close();
+        state_ = std::move(other.state_);
+    }
+    return *this;
+}
+
+tcp_listener::~tcp_listener()
+{
+    close();
+}
+
+auto tcp_listener::close() -> void
+{
+    if (state_ && state_->wsi != nullptr) {
+        lws_set_timeout(state_->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+    }
+}
+
+auto tcp_listener::open(event_loop& loop, const std::string& address,
+                        std::function<void(tcp_connection, std::string)> on_accept)
+    -> result<tcp_listener>
+{
+    const auto own = parse_address(address);
+    if (!own) {
+        return fail(error_id::listen_failed, step::listen, address, "not an address ip:port");
+    }
+    const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    auto bound = sockaddr_in{};
+    auto size = socklen_t{sizeof bound};
+    if (descriptor < 0 ||
+        bind(descriptor, reinterpret_cast<const sockaddr*>(&*own), sizeof *own) != 0 ||
+        listen(descriptor, listen_backlog) != 0 ||
+        getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
+        const auto message = std::string{std::strerror(errno)};
+        if (descriptor >= 0) {
+            ::close(descriptor);
+        }
+        return fail(error_id::listen_failed, step::listen, address, message);
+    }
+    auto listener = tcp_listener{};
+    listener.state_ = std::make_shared<detail::tcp_listener_state>();
+    auto& state = *listener.state_;
+    state.loop = &loop;
+    state.descriptor = descriptor;
+    state.port = ntohs(bound.sin_port);
+    state.on_accept = std::move(on_accept);
+    state.wsi = adopt(loop, descriptor, "tcp-accept");
+    if (state.wsi == nullptr) {
+        return fail(error_id::listen_failed, step::listen, address, "the loop is full");
+    }
+    state.self = listener.state_;
+    lws_set_opaque_user_data(state.wsi, &state);
+    return listener;
+}
+
+auto tcp_listener::port() const -> int
+{
+    return state_ ? state_->port : 0;
+}
+
+} // namespace cyclamenpost
--- /dev/null
+++ b/tests/unit-tcp.cpp
@@ -0,0 +1,138 @@
+#include <doctest/doctest.h>
+
+#include "cyclamenpost/transport/tcp.hpp"
+
+using namespace cyclamenpost;
+
+namespace {
+
+constexpr auto limit = std::chrono::seconds{10};
+
+struct pair_of_connections {
+    event_loop loop;
+    tcp_listener listener;
+    tcp_connection server;
+    tcp_connection client;
+    std::string at_server;
+    std::string at_client;
+    std::optional<close_reason> server_closed;
+    std::optional<close_reason> client_closed;
+
+    pair_of_connections()
+    {
+        const auto opened = try_or(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, "127.0.0.1:0",
+                                                               [this](tcp_connection accepted,
+                                                                      const std::string&) {
+                                                                   server = std::move(accepted);
+                                                                   server.set_handlers(
+                                                                       handlers(at_server,
+                                                                                server_closed));
+                                                               }));
+                BOOST_LEAF_ASSIGN(client, connect_tcp(loop, "127.0.0.1:" +
+                                                                std::to_string(listener.port())));
+                return {};
+            },
+            [](const error& failure) { FAIL(describe(failure)); });
+        REQUIRE(opened);
+        client.set_handlers(handlers(at_client, client_closed));
+        REQUIRE(loop.run_until([&] { return server && client.connected(); }, limit));
+    }
+
+    static auto handlers(std::string& bytes, std::optional<close_reason>& closed) -> tcp_handlers
+    {
+        return {{},
+                [&bytes](std::string_view received) { bytes += received; },
+                {},
+                [&closed](close_reason reason) { closed = reason; }};
+    }
+};
+
+} // namespace
+
+TEST_CASE("tcp: bytes sent before the connection stands arrive")
+{
+    auto ends = pair_of_connections{};
+    ends.client.send("hello");
+    CHECK(ends.loop.run_until([&] { return ends.at_server == "hello"; }, limit));
+    CHECK(ends.client.sent() == 5);
+}
+
+TEST_CASE("tcp: more than the kernel takes arrives whole after the reader goes on")
+{
+    auto ends = pair_of_connections{};
+    ends.server.set_reading(false);
+    const auto body = std::string(16'000'000, 'x');
+    ends.client.send(body);
+    CHECK(ends.client.unsent() > 0);
+    ends.server.set_reading(true);
+    CHECK(ends.loop.run_until([&] { return ends.at_server.size() == body.size(); }, limit));
+    CHECK(ends.client.unsent() == 0);
+}
+
+TEST_CASE("tcp: a peer that closes is told apart from one that resets")
+{
+    auto ends = pair_of_connections{};
+    SUBCASE("close")
+    {
+        ends.client.close();
+        CHECK(ends.loop.run_until([&] { return ends.server_closed.has_value(); }, limit));
+        CHECK(ends.server_closed == close_reason::finished);
+    }
+    SUBCASE("reset")
+    {
+        ends.client.reset();
+        CHECK(ends.loop.run_until([&] { return ends.server_closed.has_value(); }, limit));
+        CHECK(ends.server_closed == close_reason::reset);
+    }
+}
+
+TEST_CASE("tcp: bytes before the end are delivered before the end")
+{
+    auto ends = pair_of_connections{};
+    ends.client.send("last words");
+    ends.client.close();
+    CHECK(ends.loop.run_until([&] { return ends.server_closed.has_value(); }, limit));
+    CHECK(ends.at_server == "last words");
+}
+
+TEST_CASE("tcp: a connection dropped in its own handler ends for the peer")
+{
+    auto ends = pair_of_connections{};
+    auto handlers = tcp_handlers{};
+    handlers.on_bytes = [&](std::string_view) { ends.server.close(); };
+    ends.server.set_handlers(std::move(handlers));
+    ends.client.send("x");
+    CHECK(ends.loop.run_until([&] { return ends.client_closed.has_value(); }, limit));
+}
+
+TEST_CASE("tcp: a port without a listener refuses")
+{
+    auto loop = event_loop{};
+    auto closed = std::optional<close_reason>{};
+    auto client = tcp_connection{};
+    const auto started = try_or(
+        [&]() -> result<void> {
+            auto listener = tcp_listener{};
+            BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, "127.0.0.1:0", {}));
+            const auto address = "127.0.0.1:" + std::to_string(listener.port());
+            listener.close();
+            BOOST_LEAF_ASSIGN(client, connect_tcp(loop, address));
+            return {};
+        },
+        [](const error& failure) { FAIL(describe(failure)); });
+    REQUIRE(started);
+    client.set_handlers({{}, {}, {}, [&](close_reason reason) { closed = reason; }});
+    CHECK(loop.run_until([&] { return closed.has_value(); }, limit));
+    CHECK(closed == close_reason::refused);
+}
+
+TEST_CASE("tcp: a malformed address is an error with step and peer")
+{
+    auto loop = event_loop{};
+    auto seen = std::string{};
+    try_or([&] { return connect_tcp(loop, "nowhere"); },
+           [&](const error& failure) { seen = failure.peer; });
+    CHECK(seen == "nowhere");
+}
