Keep each prompt at one target for all zones

Ruled out: evictions (no request was preempted) and spills (busiest/mean 1.31). Conclusion: memory of prompts outweighs bytes between zones at these sites.

--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -28,7 +28,7 @@
     /// Using another zone costs bytes and two crossings.
     double other_zone = 0.35;
     /// Reading ten thousand tokens again occupies a target about as much as this share of load.
-    double reread_10k_tokens = 0.5;
+    double reread_10k_tokens = 20;
     /// A target that failed lately is used only when the others are this much fuller.
     double avoided = 2.0;
     /// Load above which waiting at the target is certain.
@@ -57,7 +57,7 @@
 
 /// Chooses the target with the lowest cost: its load, the zone it is in, whether it keeps the
 /// prompt, and its failures. The keeper of a prompt is the first in rendezvous order over the
-/// prompt's hash within a zone, so that all instances agree without telling each other.
+/// prompt's hash, so that all instances agree without telling each other.
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice;
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include <limits>
-#include <map>
 
 namespace cyclamenpost {
 
@@ -16,12 +15,9 @@
     const target* holds = nullptr;
 };
 
-using keepers_by_zone = std::map<std::string_view, keeper>;
-
-auto note_keeper(keepers_by_zone& keepers, const target& candidate, std::uint64_t affinity) -> void
+auto note_keeper(keeper& best, const target& candidate, std::uint64_t affinity) -> void
 {
     const auto hash = hash64(candidate.published.id, affinity);
-    auto& best = keepers[candidate.published.zone];
     if (best.holds == nullptr || hash > best.hash) {
         best = {hash, &candidate};
     }
@@ -56,7 +52,7 @@
         return choice;
     }
     auto open = std::vector<target*>{};
-    auto keepers = keepers_by_zone{};
+    auto keeps = keeper{};
     choice.why = no_target::service_empty;
     for (const auto& id : ids->second) {
         auto& candidate = table.targets.at(id);
@@ -65,7 +61,7 @@
         }
         ++choice.candidates;
         if (query.affinity != 0) {
-            note_keeper(keepers, candidate, query.affinity);
+            note_keeper(keeps, candidate, query.affinity);
         }
         if (query.tried != nullptr && query.tried->contains(id)) {
             choice.why = std::max(choice.why, no_target::all_tried);
@@ -83,8 +79,7 @@
     }
     auto best = std::numeric_limits<double>::infinity();
     for (auto* candidate : open) {
-        const auto holds =
-            query.affinity != 0 && keepers[candidate->published.zone].holds == candidate;
+        const auto holds = keeps.holds == candidate;
         const auto cost = cost_of(table, *candidate, query, weights, holds, now);
         if (cost < best) {
             best = cost;
