--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -30,11 +30,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
 
-auto unsent_failure(exchange_failure how) -> bool
-{
-    return how == exchange_failure::refused || how == exchange_failure::unreachable;
-}
-
 } // namespace
 
 auto forward_job::time_left() const -> duration
@@ -294,8 +289,7 @@
 auto forward_job::on_attempt_failed(exchange_failure how) -> void
 {
     const auto self = shared_from_this();
-    const auto unsent = !attempt.sent() || unsent_failure(how);
-    if (unsent) {
+    if (!attempt.sent()) {
         end_attempt(attempt_end::not_sent, target_outcome::unreachable,
                     name_in(exchange_failure_names, how));
         return;
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -61,6 +61,9 @@
     std::uint64_t number = 0;
     std::uint64_t sent_before = 0;
     bool busy = false;
+    /// Bytes of the last request were handed to the kernel; kept after the connection is closed,
+    /// because it decides whether the request may be sent again.
+    bool has_sent = false;
     bool used_before = false;
     bool skipping = false;
     bool reusable = true;
@@ -75,6 +78,7 @@
     auto on_complete() -> void;
     auto fail(exchange_failure how) -> void;
     auto drop() -> void;
+    auto note_sent() -> void;
 };
 
 struct client_pool {
@@ -123,6 +127,7 @@
     skipping = false;
     ++number;
     sent_before = tcp.sent();
+    has_sent = false;
     parser->expect_no_body(request.head.method == "HEAD");
     tcp.send(write_request_head(request.head, request.body.size()) + request.body);
 }
@@ -198,6 +203,7 @@
         owner->keep(shared_from_this());
     }
     else {
+        note_sent();
         tcp.close();
     }
     if (events.on_complete) {
@@ -215,8 +221,14 @@
     }
 }
 
+auto client_connection::note_sent() -> void
+{
+    has_sent = has_sent || tcp.sent() > sent_before;
+}
+
 auto client_connection::drop() -> void
 {
+    note_sent();
     tcp.close();
     if (const auto owner = pool.lock()) {
         owner->remove(this);
@@ -294,8 +306,11 @@
 
 auto client_exchange::sent() const -> bool
 {
-    return connection_ &&
-           (connection_->number != number_ || connection_->tcp.sent() > connection_->sent_before);
+    if (!connection_ || connection_->number != number_) {
+        return connection_ != nullptr;
+    }
+    connection_->note_sent();
+    return connection_->has_sent;
 }
 
 auto client_exchange::connected() const -> bool
