Bound load by the service's mean and refuse what a stopping instance cannot finish

Change: the keeper of a prompt is the first in rendezvous order under 1.8 x mean + 2.5; 2.2 s after SIGTERM the listener closes, idle connections end, and what still arrives is answered 503.

--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -25,6 +25,9 @@
     std::map<std::string, retry_budget, std::less<>> retry_budgets;
     retry_settings retries;
     suspect_table suspects;
+    /// The instance is ending and its directory entries have run out; what arrives now could not be
+    /// finished in time.
+    bool closing = false;
     bool draining = false;
 };
 
--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -31,8 +31,11 @@
     double reread_10k_tokens = 20;
     /// A target that failed lately is used only when the others are this much fuller.
     double avoided = 2.0;
-    /// Load above which waiting at the target is certain.
-    double full = 1.0;
+    /// A target over this multiple of its service's mean load, plus the slack, is passed over: the
+    /// users allow twice the mean and three requests, and reports are late.
+    double bound_multiple = 1.8;
+    double bound_slack = 2.5;
+    double over_bound = 50;
 };
 
 /// Why no target was chosen.
@@ -50,6 +53,8 @@
     target* chosen = nullptr;
     no_target why = no_target::none;
     double load = 0;
+    /// Mean load of the service's targets.
+    double mean = 0;
     bool holder = false;
     bool same_zone = false;
     std::size_t candidates = 0;
@@ -57,7 +62,8 @@
 
 /// Chooses the target with the lowest cost: its load, the zone it is in, whether it keeps the
 /// prompt, and its failures. The keeper of a prompt is the first in rendezvous order over the
-/// prompt's hash, so that all instances agree without telling each other.
+/// prompt's hash that is neither over the load bound nor failing, so that all instances agree
+/// without telling each other (consistent hashing with bounded loads, Mirrokni et al. 2018).
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice;
 
--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -95,7 +95,7 @@
     /// Asks callers to close: every answer from now on is the last on its connection.
     auto begin_drain() -> void;
 
-    /// Stops accepting connections.
+    /// Stops accepting connections and closes those on which nothing is being read or answered.
     auto stop_listening() -> void;
 
     /// Connections on which a request is being read or answered.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -13,7 +13,9 @@
 constexpr auto service_unavailable = 503;
 constexpr duration maintenance_period = std::chrono::milliseconds{500};
 constexpr duration shutdown_check_period = std::chrono::milliseconds{50};
-// callers that learnt this address before the stop still come for about this long
+// callers that learnt this address before the stop still come for about this long; what they send
+// later may not be finished before the process is killed
+constexpr duration taking_time = std::chrono::milliseconds{2200};
 constexpr duration least_drain = std::chrono::milliseconds{2500};
 // the process ends this much before it would be killed
 constexpr duration grace_margin = std::chrono::milliseconds{300};
@@ -341,6 +343,9 @@
 {
     const auto waited = monotonic_now() - shutdown_begun_;
     const auto idle = forwarder_.running() == 0 && front_.busy() == 0;
+    if (waited > taking_time && !std::exchange(view_.closing, true)) {
+        front_.stop_listening();
+    }
     const auto done = (waited > least_drain && idle) || waited > settings_.grace - grace_margin;
     if (!done) {
         return;
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -113,6 +113,7 @@
               {{"request", request.id},
                {"target", target_id},
                {"load", std::to_string(choice.load)},
+               {"mean", std::to_string(choice.mean)},
                {"candidates", std::to_string(choice.candidates)},
                {"holder", choice.holder ? "1" : "0"},
                {"same_zone", choice.same_zone ? "1" : "0"}});
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -13,6 +13,8 @@
 constexpr auto service_unavailable = 503;
 
 // wait told to callers while no configuration has been read; starting takes about this long
+// wait told to callers of an instance that ends; another one serves them at once
+constexpr duration closing_wait = std::chrono::milliseconds{20};
 constexpr duration starting_wait = std::chrono::milliseconds{500};
 
 auto refuse_at_once(const platform_port& port, server_exchange& exchange, int status,
@@ -94,6 +96,10 @@
                        "no_configuration");
         return;
     }
+    if (view.closing) {
+        refuse_at_once(port, *exchange, service_unavailable, closing_wait, request, "stopping");
+        return;
+    }
     const auto* rule = match_route(*view.routes, request.host, exchange->head.target);
     if (rule == nullptr) {
         refuse_at_once(port, *exchange, not_found, {}, request, "no_route");
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -10,86 +10,132 @@
 
 constexpr double tokens_per_unit = 10'000;
 
-struct keeper {
-    std::uint64_t hash = 0;
-    const target* holds = nullptr;
+/// A usable target with what decides about it.
+struct candidate {
+    target* place = nullptr;
+    double load = 0;
+    bool open = false;
 };
 
-auto note_keeper(keeper& best, const target& candidate, std::uint64_t affinity) -> void
+auto over_bound(double load, double mean, const choice_weights& weights) -> bool
 {
-    const auto hash = hash64(candidate.published.id, affinity);
-    if (best.holds == nullptr || hash > best.hash) {
-        best = {hash, &candidate};
+    return load + 1 > weights.bound_multiple * mean + weights.bound_slack;
+}
+
+auto mean_load(const std::vector<candidate>& candidates) -> double
+{
+    auto sum = 0.0;
+    for (const auto& entry : candidates) {
+        sum += entry.load;
+    }
+    return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+}
+
+/// First target in rendezvous order that can take the request; null without one.
+auto find_keeper(const std::vector<candidate>& candidates, const choice_query& query,
+                 const choice_weights& weights, double mean, time_point now) -> const target*
+{
+    const target* keeper = nullptr;
+    auto best = std::uint64_t{0};
+    if (query.affinity == 0) {
+        return keeper;
+    }
+    for (const auto& entry : candidates) {
+        const auto hash = hash64(entry.place->published.id, query.affinity);
+        const auto fit = entry.open && !over_bound(entry.load, mean, weights) &&
+                         now >= entry.place->avoid_until;
+        if (fit && (keeper == nullptr || hash > best)) {
+            keeper = entry.place;
+            best = hash;
+        }
     }
+    return keeper;
 }
 
-auto cost_of(const target_table& table, const target& candidate, const choice_query& query,
-             const choice_weights& weights, bool holds, time_point now) -> double
+auto cost_of(const target_table& table, const candidate& entry, const choice_query& query,
+             const choice_weights& weights, const target* keeper, double mean, time_point now)
+    -> double
 {
-    const auto capacity = std::max(1.0, static_cast<double>(candidate.published.capacity));
-    auto cost = (estimated_load(table, candidate, now) + 1) / capacity;
-    if (candidate.published.zone != table.settings.zone) {
+    const auto& published = entry.place->published;
+    auto cost = (entry.load + 1) / std::max(1.0, static_cast<double>(published.capacity));
+    if (published.zone != table.settings.zone) {
         cost += weights.other_zone;
     }
-    if (query.affinity != 0 && !holds) {
+    if (query.affinity != 0 && keeper != entry.place) {
         cost += weights.reread_10k_tokens * query.shared_tokens / tokens_per_unit;
     }
-    if (now < candidate.avoid_until) {
+    if (now < entry.place->avoid_until) {
         cost += weights.avoided;
     }
+    if (over_bound(entry.load, mean, weights)) {
+        cost += weights.over_bound;
+    }
     return cost;
 }
 
-} // namespace
-
-auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
-                   time_point now) -> target_choice
+/// All usable targets of the service; those that cannot take this request are not open.
+auto list_candidates(target_table& table, const choice_query& query,
+                     const std::vector<std::string>& ids, target_choice& choice, time_point now)
+    -> std::vector<candidate>
 {
-    auto choice = target_choice{};
-    const auto ids = table.by_service.find(std::string{query.service});
-    if (ids == table.by_service.end()) {
-        choice.why = no_target::service_empty;
-        return choice;
-    }
-    auto open = std::vector<target*>{};
-    auto keeps = keeper{};
+    auto candidates = std::vector<candidate>{};
     choice.why = no_target::service_empty;
-    for (const auto& id : ids->second) {
-        auto& candidate = table.targets.at(id);
-        if (!usable(table, candidate, now)) {
+    for (const auto& id : ids) {
+        auto& place = table.targets.at(id);
+        if (!usable(table, place, now)) {
             continue;
         }
-        ++choice.candidates;
-        if (query.affinity != 0) {
-            note_keeper(keeps, candidate, query.affinity);
-        }
+        auto& entry = candidates.emplace_back();
+        entry.place = &place;
+        entry.load = estimated_load(table, place, now);
         if (query.tried != nullptr && query.tried->contains(id)) {
             choice.why = std::max(choice.why, no_target::all_tried);
             continue;
         }
-        const auto share = query.members == nullptr
-                               ? cold_share{}
-                               : share_of_cold(table.settings, query.cold_per_second, id,
-                                               std::string{query.own_id}, *query.members);
-        if (query.cold_per_second > 0 && !cold_allows(table, candidate, share, now)) {
+        const auto is_cold = query.cold_per_second > 0 && cold(table, place, now);
+        const auto share = is_cold && query.members != nullptr
+                               ? share_of_cold(table.settings, query.cold_per_second, id,
+                                               std::string{query.own_id}, *query.members)
+                               : cold_share{};
+        if (is_cold && !cold_allows(table, place, share, now)) {
             choice.why = std::max(choice.why, no_target::all_cold);
             continue;
         }
-        open.push_back(&candidate);
+        entry.open = true;
+    }
+    return candidates;
+}
+
+} // namespace
+
+auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
+                   time_point now) -> target_choice
+{
+    auto choice = target_choice{};
+    const auto ids = table.by_service.find(std::string{query.service});
+    if (ids == table.by_service.end()) {
+        choice.why = no_target::service_empty;
+        return choice;
     }
+    const auto candidates = list_candidates(table, query, ids->second, choice, now);
+    choice.candidates = candidates.size();
+    choice.mean = mean_load(candidates);
+    const auto* keeper = find_keeper(candidates, query, weights, choice.mean, now);
     auto best = std::numeric_limits<double>::infinity();
-    for (auto* candidate : open) {
-        const auto holds = keeps.holds == candidate;
-        const auto cost = cost_of(table, *candidate, query, weights, holds, now);
+    for (const auto& entry : candidates) {
+        if (!entry.open) {
+            continue;
+        }
+        const auto cost = cost_of(table, entry, query, weights, keeper, choice.mean, now);
         if (cost < best) {
             best = cost;
-            choice.chosen = candidate;
-            choice.holder = holds;
+            choice.chosen = entry.place;
+            choice.load = entry.load;
         }
     }
     if (choice.chosen != nullptr) {
         choice.why = no_target::none;
-        choice.load = estimated_load(table, *choice.chosen, now);
+        choice.holder = choice.chosen == keeper;
         choice.same_zone = choice.chosen->published.zone == table.settings.zone;
     }
     return choice;
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -52,6 +52,12 @@
     auto reject(int status) -> void;
     auto next_request() -> void;
     auto close() -> void;
+
+    /// Whether a request is being read or answered.
+    auto occupied() const -> bool
+    {
+        return answering != nullptr || parser->in_message() || tcp.unsent() > 0;
+    }
 };
 
 auto server_connection::open() -> void
@@ -392,15 +398,19 @@
 auto http1_server::stop_listening() -> void
 {
     state_->listener.close();
+    const auto open = state_->connections;
+    for (const auto& connection : open) {
+        if (!connection->occupied()) {
+            connection->close();
+        }
+    }
 }
 
 auto http1_server::busy() const -> std::size_t
 {
     auto count = std::size_t{0};
     for (const auto& connection : state_->connections) {
-        const auto occupied = connection->answering != nullptr ||
-                              connection->parser->in_message() || connection->tcp.unsent() > 0;
-        count += occupied ? 1 : 0;
+        count += connection->occupied() ? 1 : 0;
     }
     return count;
 }
