Tell an instance's own outage from the store's, and notice a silent store within two seconds

A target that left after an instance had been cut off was taken for lapsed and used for two more seconds; a watch of 10 s waited on a connection that had gone silent while the configuration changed. Ruled out: late news (the log shows target_gone lapsed=1 0.1 s after the store's acknowledgement); lost messages of peers. Change: an outage during which peers had newer changes is not the store's; a watch waits 1.5 s and its answer 0.5 s more, growing while a reached store is slow.

--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -12,13 +12,16 @@
 /// Times of reading the store.
 struct store_settings {
     std::string address;
-    /// How long a watch waits for changes.
-    duration watch_wait = std::chrono::seconds{10};
+    /// How long a watch waits for changes. A connection may go silent while the store changes, and
+    /// changes have to be in force within two seconds.
+    duration watch_wait = std::chrono::milliseconds{1500};
     /// A call that is not answered within this time, beyond what it waits, is given up. The store
     /// answers in milliseconds; a slow one takes some hundred.
-    duration answer_limit = std::chrono::milliseconds{1500};
+    duration answer_limit = std::chrono::milliseconds{500};
+    /// The limit grows to this while a store that is reached answers too late.
+    duration longest_answer_limit = std::chrono::seconds{3};
     duration first_pause = std::chrono::milliseconds{100};
-    duration longest_pause = std::chrono::milliseconds{1000};
+    duration longest_pause = std::chrono::milliseconds{400};
     /// Changes that follow within this time after others arrive in one call.
     duration gather_time = std::chrono::milliseconds{100};
 };
@@ -44,8 +47,13 @@
     /// Whether the last call was answered.
     auto available() const -> bool;
 
-    /// Time at which the store was last found away; nothing before the first failure.
-    auto last_away() const -> std::optional<time_point>;
+    /// Whether entries that vanish now may have lapsed while the store was away: it is away, or came
+    /// back less than `window` ago. An outage of this instance alone does not count, since others
+    /// kept the entries alive.
+    auto may_have_lapsed(duration window, time_point now) const -> bool;
+
+    /// A peer has newer changes: the store serves others.
+    auto note_others_served() -> void;
 
     /// Reads on after the changes of a peer: a watch on a silent connection is opened anew.
     auto renew() -> void;
@@ -80,6 +88,8 @@
     bool available_ = false;
     bool stopped_ = true;
     std::optional<time_point> last_away_;
+    bool others_served_ = false;
+    duration extra_limit_{};
     std::uint64_t calls_ = 0;
 };
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -59,6 +59,7 @@
                   }),
       peers_(loop, settings_, state_,
              {[this](const changed_keys& keys) {
+                  store_.note_others_served();
                   on_changed(keys);
                   store_.renew();
               },
@@ -238,8 +239,7 @@
 {
     const auto now = monotonic_now();
     if (item.removed) {
-        const auto away = store_.last_away();
-        const auto lapsed = !store_.available() || (away && now - *away < lapse_window);
+        const auto lapsed = store_.may_have_lapsed(lapse_window, now);
         remove_target(view_.targets, id, lapsed ? absence::lapsed : absence::removed, now);
         log_event(log_level::info, "target_gone",
                   {{"target", id},
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -45,9 +45,17 @@
     return available_;
 }
 
-auto store_reader::last_away() const -> std::optional<time_point>
+auto store_reader::may_have_lapsed(duration window, time_point now) const -> bool
 {
-    return last_away_;
+    if (others_served_ || !last_away_) {
+        return false;
+    }
+    return !available_ || now - *last_away_ < window;
+}
+
+auto store_reader::note_others_served() -> void
+{
+    others_served_ = others_served_ || !available_;
 }
 
 auto store_reader::renew() -> void
@@ -89,8 +97,13 @@
         fail("no_connection");
         return;
     }
-    limit_timer_ = loop_.call_after(limit, [this] {
+    limit_timer_ = loop_.call_after(limit + extra_limit_, [this] {
+        const auto reached = exchange_.connected();
         exchange_.cancel();
+        if (reached) {
+            extra_limit_ = std::min(extra_limit_ + settings_.answer_limit,
+                                    settings_.longest_answer_limit - settings_.answer_limit);
+        }
         fail("no_answer");
     });
 }
@@ -197,10 +210,14 @@
 {
     if (now_available) {
         failures_ = 0;
+        extra_limit_ = {};
     }
     if (std::exchange(available_, now_available) == now_available) {
         return;
     }
+    if (!now_available) {
+        others_served_ = false;
+    }
     if (now_available && last_away_) {
         last_away_ = monotonic_now();
     }
