--- /dev/null
+++ b/fakes/lib/target_stand_in.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cyclamenpost/transport/http1_server.hpp"
+
+namespace cyclamenpost::fakes {
+
+/// What a target does with a request after it has checked for whom it is.
+enum class target_mode {
+    /// Answers; a stream sends all its events.
+    normal,
+    /// Says that it is full and did not run the request.
+    full,
+    /// Runs the request and resets the connection instead of answering.
+    answer_lost,
+    /// Runs the request and says nothing.
+    mute,
+    /// Runs the request and answers 500.
+    failing,
+    /// Breaks a stream off in the middle of its third event.
+    cut_stream,
+    /// Answers without vouching for it.
+    no_receipt,
+};
+
+inline constexpr std::array target_mode_names{
+    enum_name<target_mode>{target_mode::normal, "normal"},
+    enum_name<target_mode>{target_mode::full, "full"},
+    enum_name<target_mode>{target_mode::answer_lost, "answer_lost"},
+    enum_name<target_mode>{target_mode::mute, "mute"},
+    enum_name<target_mode>{target_mode::failing, "failing"},
+    enum_name<target_mode>{target_mode::cut_stream, "cut_stream"},
+    enum_name<target_mode>{target_mode::no_receipt, "no_receipt"},
+};
+
+/// A back end of the platform: plain answers, or streams of numbered events for requests that carry
+/// a prompt.
+class target_stand_in {
+public:
+    target_stand_in(event_loop& loop, std::string id, std::string service, std::string zone);
+
+    /// Listens on "ip:port". Fails with `listen_failed`.
+    auto listen(const std::string& address) -> result<void>;
+
+    /// The target's entry in the store.
+    auto entry(const std::string& state = "ready") const -> std::string;
+
+    auto id() const -> const std::string&;
+
+    /// Key of the target's entry in the store.
+    auto key() const -> std::string;
+
+    auto set_mode(target_mode mode) -> void;
+
+    /// Time from a request to its answer, and from one event to the next.
+    auto set_delay(duration delay) -> void;
+
+    /// Runs by request id.
+    auto runs() const -> const std::map<std::string, int>&;
+
+    /// Requests that are being run.
+    auto running() const -> std::size_t;
+
+    /// Headers of the last request.
+    auto last_request() const -> const request_head&;
+
+    /// Ends without a word, as a crash does.
+    auto crash() -> void;
+
+    /// Events of a whole stream.
+    static constexpr int events = 6;
+
+private:
+    struct run {
+        std::shared_ptr<server_exchange> exchange;
+        timer next;
+        std::uint64_t event = 1;
+    };
+
+    auto serve(const std::shared_ptr<server_exchange>& exchange) -> void;
+    auto answer(run& work) -> void;
+    auto send_event(run& work) -> void;
+    auto end(const run& work) -> void;
+    auto head_for(const run& work, int status) const -> response_head;
+
+    event_loop& loop_;
+    std::string id_;
+    std::string service_;
+    std::string zone_;
+    std::unique_ptr<http1_server> server_;
+    std::string address_;
+    target_mode mode_ = target_mode::normal;
+    duration delay_{};
+    std::map<std::string, int> runs_;
+    std::list<run> running_;
+    request_head last_request_;
+};
+
+} // namespace cyclamenpost::fakes
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -19,8 +19,6 @@
 constexpr duration least_drain = std::chrono::milliseconds{2500};
 // the process ends this much before it would be killed
 constexpr duration grace_margin = std::chrono::milliseconds{300};
-// members are known about this long after a start; before, cold targets get nothing
-constexpr duration settling_time = std::chrono::milliseconds{2500};
 // entries that vanish this soon after the store's return may have lapsed meanwhile
 constexpr duration lapse_window = std::chrono::seconds{2};
 // a directory answer is kept half as long as allowed: some callers keep it three times as long
@@ -282,7 +280,7 @@
 
 auto entry_instance::refresh_members() -> void
 {
-    const auto settled = started_ != time_point{} && monotonic_now() - started_ > settling_time;
+    const auto settled = started_ != time_point{} && monotonic_now() - started_ > settings_.settling;
     view_.members = settled ? peers_.all_ids() : std::vector<std::string>{};
     const auto count = std::max<std::size_t>(view_.members.size(), 1);
     constexpr double window_seconds = retry_budget::window_seconds;
--- /dev/null
+++ b/tests/unit-entry_instance.cpp
@@ -0,0 +1,188 @@
+#include "entry_fixture.hpp"
+
+using namespace cyclamenpost;
+using namespace cyclamenpost::test;
+using fakes::store_mode;
+
+namespace {
+
+struct small_fleet : fleet_fixture {
+    small_fleet()
+    {
+        publish(1);
+        add_target("app-1", "app");
+    }
+
+    auto start(int count) -> void
+    {
+        for (auto index = 0; index < count; ++index) {
+            add_instance();
+        }
+        wait_ready();
+    }
+
+    auto version(std::size_t instance) const -> std::uint64_t
+    {
+        const auto& routes = instances[instance]->view().routes;
+        return routes ? routes->version : 0;
+    }
+
+    auto addresses(std::size_t instance) -> std::size_t
+    {
+        const auto call = ask_side(settings[instance].directory_address,
+                                   "/cyclamenpost/resolve?name=shop.example&region=r&zone=a");
+        return call.head.status == 200 ? nlohmann::json::parse(call.body)["addresses"].size() : 0;
+    }
+
+    auto absence_of(const std::string& id) const -> absence
+    {
+        return instances[0]->view().targets.targets.at(id).gone;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: instances find each other and are named to callers")
+{
+    start(3);
+    wait([&] { return addresses(0) == 3; });
+    wait([&] { return addresses(2) == 3; });
+    CHECK(ask_side(settings[0].ready_address, "/cyclamenpost/readyz").head.status == 200);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: without a configuration nothing is refused for good")
+{
+    store.set_mode(store_mode::busy);
+    add_instance();
+    const auto call = ask("/book/1");
+    CHECK(call.head.status == 503);
+    CHECK(find_field(call.head.fields, "Retry-After").has_value());
+    CHECK(ask_side(settings[0].ready_address, "/cyclamenpost/readyz").head.status == 503);
+    store.set_mode(store_mode::normal);
+    wait_ready();
+    CHECK(ask("/book/1").head.status == 200);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a listing of several pages is read whole")
+{
+    for (auto index = 2; index < 15; ++index) {
+        add_target("app-" + std::to_string(index), "app");
+    }
+    start(1);
+    CHECK(instances[0]->view().targets.targets.size() == 14);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a dropped history is read anew")
+{
+    start(1);
+    store.set_mode(store_mode::busy);
+    publish(2);
+    store.remove("servers/app-1");
+    store.drop_history();
+    store.set_mode(store_mode::normal);
+    wait([&] { return version(0) == 2; });
+    CHECK(absence_of("app-1") != absence::none);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a store that went silent is noticed and read again")
+{
+    start(1);
+    store.set_mode(store_mode::silent);
+    publish(2);
+    // the watch that waits now is never answered
+    wait([&] { return store.calls() > 3; });
+    store.set_mode(store_mode::normal);
+    wait([&] { return version(0) == 2; });
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: an instance that the store turns away learns from another")
+{
+    start(2);
+    wait([&] { return addresses(0) == 2; });
+    auto alone = fakes::store_stand_in{loop};
+    check([&] { return alone.listen("127.0.0.1:0"); });
+    alone.set_mode(store_mode::busy);
+    settings.back().store_address = alone.address();
+    auto& cut_off = settings.emplace_back(settings.back());
+    cut_off.front_address = free_address(loop);
+    cut_off.ready_address = free_address(loop);
+    cut_off.directory_address = free_address(loop);
+    cut_off.peer_address = free_address(loop);
+    instances.push_back(std::make_unique<entry_instance>(loop, platform::make_port(), cut_off,
+                                                         [this](int) { ++ended; }));
+    instances.back()->start();
+    wait_ready();
+    CHECK(version(2) == 1);
+    publish(5, {"key-2"});
+    wait([&] { return version(2) == 5; });
+    CHECK(ask("/book/1", 2, "key-1").head.status == 401);
+    CHECK(ask("/book/1", 2, "key-2").head.status == 200);
+    // others are served, so what vanishes now has not lapsed
+    store.remove("servers/app-1");
+    wait([&] {
+        return instances[2]->view().targets.targets.at("app-1").gone == absence::removed;
+    });
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a target that vanishes as the store returns may have lapsed")
+{
+    start(1);
+    store.set_mode(store_mode::busy);
+    wait([&] { return store.calls() > 4; });
+    store.remove("servers/app-1");
+    store.set_mode(store_mode::normal);
+    wait([&] { return absence_of("app-1") != absence::none; });
+    CHECK(absence_of("app-1") == absence::lapsed);
+    CHECK(ask("/book/1").head.status == 200);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a target that vanishes on a good day is gone at once")
+{
+    start(1);
+    store.remove("servers/app-1");
+    wait([&] { return absence_of("app-1") != absence::none; });
+    CHECK(absence_of("app-1") == absence::removed);
+    CHECK(ask("/book/1").head.status == 503);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a configuration never goes back, and unreadable ones are passed over")
+{
+    start(1);
+    publish(7);
+    wait([&] { return version(0) == 7; });
+    publish(6);
+    store.put("op/config", "not a configuration");
+    store.put("servers/odd", R"({"backend":7})");
+    add_target("app-2", "app");
+    wait([&] { return instances[0]->view().targets.targets.contains("app-2"); });
+    CHECK(version(0) == 7);
+    CHECK_FALSE(instances[0]->view().targets.targets.contains("odd"));
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a zone that is taken out gets nothing until it is back")
+{
+    start(1);
+    store.put("op/evacuate/a", "{}");
+    wait([&] { return instances[0]->view().targets.zones_out.contains("a"); });
+    CHECK(ask("/book/1").head.status == 503);
+    store.remove("op/evacuate/a");
+    wait([&] { return instances[0]->view().targets.zones_out.empty(); });
+    CHECK(ask("/book/1").head.status == 200);
+}
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: an instance that ends answers what it read and is named no more")
+{
+    start(2);
+    wait([&] { return addresses(1) == 2; });
+    targets.front().set_delay(std::chrono::milliseconds{500});
+    auto call = caller_call{};
+    send(call, "/book/1");
+    wait([&] { return targets.front().running() == 1; });
+    instances[0]->begin_shutdown();
+    CHECK(ask_side(settings[0].ready_address, "/cyclamenpost/readyz").head.status == 503);
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 200);
+    CHECK(has_token(call.head.fields, "Connection", "close"));
+    wait([&] { return addresses(1) == 1; });
+    wait([&] { return ended == 1; });
+}
--- /dev/null
+++ b/tests/unit-platform_adapter.cpp
@@ -0,0 +1,172 @@
+#include <doctest/doctest.h>
+
+#include "platform_requests.hpp"
+#include "platform_settings.hpp"
+#include "platform_store.hpp"
+
+using namespace cyclamenpost;
+using namespace cyclamenpost::platform;
+
+namespace {
+
+constexpr auto settings_text = R"(
+node_name = "edge-1"
+zone = "z1"
+region = "r1"
+seed_nodes = ["10.1.0.40:8229","10.2.0.29:8229"]
+unknown_field = 3
+[listen_addrs]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+control = "10.1.0.40:8229"
+directory = "10.1.0.40:8224"
+[limits]
+max_fds = 4100
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_slack = 58
+cold_over = 1.5
+cold_slack = 5
+[provider]
+address = "10.200.1.7:8223"
+)";
+
+auto settings_failure(const std::string& text) -> std::string
+{
+    auto message = std::string{};
+    try_or([&] { return decode_settings(text, "file"); },
+           [&](const error& failure) { message = describe(failure); });
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("platform_adapter: settings are decoded once, unknown fields are passed over")
+{
+    auto read = entry_settings{};
+    const auto decoded = try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(read, decode_settings(settings_text, "file"));
+            return {};
+        },
+        [](const error& failure) { FAIL(describe(failure)); });
+    REQUIRE(decoded);
+    CHECK(read.name == "edge-1");
+    CHECK(read.peer_address == "10.1.0.40:8229");
+    CHECK(read.seeds.size() == 2);
+    CHECK(read.grace == std::chrono::seconds{8});
+    CHECK(read.cold_over == doctest::Approx(1.5));
+    CHECK(read.max_connections == 3900);
+}
+
+TEST_CASE("platform_adapter: settings that cannot serve name what is wrong")
+{
+    CHECK(settings_failure("not toml = [").find("file") != std::string::npos);
+    CHECK(settings_failure("zone = \"z\"").find("front is missing") != std::string::npos);
+}
+
+TEST_CASE("platform_adapter: a caller's headers become fields")
+{
+    auto head = request_head{};
+    head.fields = {{"Host", "a.example"},   {"X-Attempt-Id", "id"},
+                   {"X-Deadline-Ms", "250"}, {"X-Api-Key", "k"},
+                   {"Last-Event-Id", "12"},  {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410"}};
+    const auto request = decode_request(head);
+    CHECK(request.deadline == std::chrono::milliseconds{250});
+    CHECK(request.last_event == 12);
+    REQUIRE(request.prompt.size() == 2);
+    CHECK(request.prompt[1].id == 0x91bd3f06);
+    CHECK(request.prompt[1].tokens == 410);
+}
+
+TEST_CASE("platform_adapter: what only the system may set is taken from no caller")
+{
+    auto head = request_head{};
+    head.fields = {{"X-Tenant", "forged"}, {"X-Kv-Hold", "1"},    {"X-Pin-Ms", "1"},
+                   {"X-Kv-Backup", "1"},   {"Kv-From", "1"},      {"Kv-Fetch", "1"},
+                   {"X-Api-Key", "k"},     {"X-Other", "kept"},   {"Last-Event-Id", "3"},
+                   {"X-Model", "m"},       {"Connection", "close"}};
+    auto marks = target_marks{};
+    marks.target_id = "t";
+    marks.organisation = "org";
+    marks.deadline = std::chrono::milliseconds{1500};
+    marks.priority = 17;
+    const auto sent = encode_request(head, marks);
+    CHECK(*find_field(sent.fields, "X-Tenant") == "org");
+    CHECK(*find_field(sent.fields, "X-Deadline-Ms") == "1500");
+    CHECK(*find_field(sent.fields, "X-Request-Priority") == "9");
+    CHECK(sent.fields.size() == 6);
+    CHECK(find_field(sent.fields, "X-Other").has_value());
+    CHECK(find_field(sent.fields, "X-Model").has_value());
+}
+
+TEST_CASE("platform_adapter: a target's head says load, receipt and execution")
+{
+    auto head = response_head{};
+    head.fields = {{"X-Server-Load", "3,2,8"}, {"X-Not-Executed", "1"}, {"X-Cold-Ms", "40"},
+                   {"X-Server-Seal", "s"},     {"Content-Type", "text/event-stream; charset=x"}};
+    const auto answer = decode_answer(head);
+    CHECK(answer.load->running == 3);
+    CHECK(answer.load->waiting == 2);
+    CHECK(answer.not_executed);
+    CHECK(answer.has_receipt);
+    CHECK(answer.event_stream);
+    CHECK(answer.cold_for == std::chrono::milliseconds{40});
+    head.fields = {{"X-Server-Load", "x"}};
+    CHECK_FALSE(decode_answer(head).load.has_value());
+}
+
+TEST_CASE("platform_adapter: entries with fields missing or of another type name no target")
+{
+    const auto good = std::string{
+        R"({"backend":"s","address":"1.2.3.4:5","zone":"z","capacity":8,"state":"draining","cold_remaining_ms":1500,"born":7,"seq":4})"};
+    const auto target = decode_target("i-1", good);
+    REQUIRE(target.has_value());
+    CHECK(target->leaving);
+    CHECK(target->cold_for == std::chrono::milliseconds{1500});
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"backend\":\"s\"", "\"backend\":5"},
+             {"\"state\":\"draining\"", "\"state\":\"odd\""},
+             {"\"capacity\":8,", ""},
+             {"\"zone\"", "\"region\""},
+             {"}", ""}}) {
+        auto broken = good;
+        broken.replace(broken.find(from), from.size(), to);
+        CHECK_FALSE(decode_target("i-1", broken).has_value());
+    }
+}
+
+TEST_CASE("platform_adapter: listings, changes and configurations of another shape are refused whole")
+{
+    const auto page = decode_listing(
+        R"({"items":[{"key":"a","value":"aGk=","rev":3}],"more_pages":true,"current_rev":9})");
+    REQUIRE(page.has_value());
+    CHECK(page->items[0].value == "hi");
+    CHECK(page->more);
+    CHECK_FALSE(decode_listing("[]").has_value());
+    const auto changes =
+        decode_changes(R"({"events":[{"key":"a","rev":4,"removed":true}],"current_rev":4})");
+    REQUIRE(changes.has_value());
+    CHECK(changes->items[0].removed);
+    CHECK_FALSE(decode_changes("{").has_value());
+    CHECK_FALSE(decode_configuration(R"({"version":1})").has_value());
+}
+
+TEST_CASE("platform_adapter: a configuration becomes a route table")
+{
+    const auto table = decode_configuration(R"({"version":7,"routes":[
+        {"name":"r","hostname":"h","prefix":"/p/","route_type":"streaming","timeout_ms":12000,
+         "slo_ms":600,"priority":0,"backends":[{"backend":"a","weight":90},{"backend":"b","weight":10}],
+         "max_attempts":2,"public":false,"session_affinity":true,"stream_resume":true}],
+        "services":[{"name":"a","cold_start_s":3.0,"cold_per_s":20.0,"engine":{"capacity":128}}],
+        "tenants":[{"name":"t","api_keys":["k"],"priority":1}]})");
+    REQUIRE(table.has_value());
+    const auto* rule = match_route(*table, "h", "/p/x");
+    REQUIRE(rule != nullptr);
+    CHECK(rule->kind == route_kind::stream);
+    CHECK(rule->services.size() == 2);
+    CHECK(rule->objective == std::chrono::milliseconds{600});
+    CHECK(find_service(*table, "a")->capacity == 128);
+    CHECK(find_organisation(*table, "k")->priority == 1);
+}
