Fetch prompts from the target that keeps them

Change: a request whose target probably lacks its prompt names another target to fetch it from: the last one this instance used (chat_table), else the next in rendezvous order that lives.

--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -27,6 +27,8 @@
     duration idle_limit = std::chrono::seconds{8};
     /// Bytes that may wait for a slow caller before the target is no longer read.
     std::size_t max_unsent_bytes = 65536;
+    /// Prompts whose last target is remembered; twelve bytes each.
+    std::size_t prompt_entries = 8192;
     /// Largest whole answer, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} << 20U;
 };
--- a/include/cyclamenpost/entry/platform_port.hpp
+++ b/include/cyclamenpost/entry/platform_port.hpp
@@ -39,6 +39,8 @@
     duration deadline{};
     std::optional<int> priority;
     std::optional<std::uint64_t> last_event;
+    /// Address of a target from which this one fetches what it lacks of the prompt; empty for none.
+    std::string fetch_from;
 };
 
 /// What a target says in the head of an answer.
--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -56,10 +56,16 @@
     /// Mean load of the service's targets.
     double mean = 0;
     bool holder = false;
+    /// First other target in rendezvous order that answers; it may hold the prompt when the chosen
+    /// one does not.
+    const target* other_holder = nullptr;
     bool same_zone = false;
     std::size_t candidates = 0;
 };
 
+/// Whether a target may be asked for the prompts it keeps: it lives, also while it leaves.
+auto can_give(const target& source, time_point now) -> bool;
+
 /// Chooses the target with the lowest cost: its load, the zone it is in, whether it keeps the
 /// prompt, and its failures. The keeper of a prompt is the first in rendezvous order over the
 /// prompt's hash that is neither over the load bound nor failing, so that all instances agree
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -109,22 +109,24 @@
     const auto now = monotonic_now();
     auto& chosen = *choice.chosen;
     target_id = chosen.published.id;
-    log_event(log_level::debug, "placed",
-              {{"request", request.id},
-               {"target", target_id},
-               {"load", std::to_string(choice.load)},
-               {"mean", std::to_string(choice.mean)},
-               {"candidates", std::to_string(choice.candidates)},
-               {"holder", choice.holder ? "1" : "0"},
-               {"same_zone", choice.same_zone ? "1" : "0"}});
     auto marks = target_marks{};
     marks.target_id = target_id;
     marks.organisation = organisation_name;
     marks.deadline = time_left();
     marks.priority = priority;
+    marks.fetch_from = prompt_source(choice);
     if (rule->kind == route_kind::stream) {
         marks.last_event = events.last_event;
     }
+    log_event(log_level::debug, "placed",
+              {{"request", request.id},
+               {"target", target_id},
+               {"load", std::to_string(choice.load)},
+               {"mean", std::to_string(choice.mean)},
+               {"candidates", std::to_string(choice.candidates)},
+               {"holder", choice.holder ? "1" : "0"},
+               {"fetch_from", marks.fetch_from},
+               {"same_zone", choice.same_zone ? "1" : "0"}});
     auto outgoing = outgoing_request{};
     outgoing.address = chosen.published.address;
     outgoing.head = parts.port.encode_request(exchange->head, marks);
@@ -168,6 +170,26 @@
         &forward_job::on_attempt_late);
 }
 
+/// Address of another target that probably keeps the prompt, when the chosen one probably does not:
+/// copying it is many times faster than reading it again.
+auto forward_job::prompt_source(const target_choice& choice) const -> std::string
+{
+    if (affinity == 0) {
+        return {};
+    }
+    const auto last = parts.prompt_holders.last_target(to_hex(affinity));
+    if (last == choice.chosen->published.id) {
+        return {};
+    }
+    const auto& known = parts.view.targets.targets;
+    const auto found = known.find(std::string{last});
+    if (found != known.end() && can_give(found->second, monotonic_now())) {
+        return found->second.published.address;
+    }
+    return choice.other_holder != nullptr ? choice.other_holder->published.address
+                                          : std::string{};
+}
+
 auto forward_job::on_attempt_late() -> void
 {
     if (!attempt.connected()) {
@@ -208,6 +230,9 @@
     }
     const auto good = head.status / 100 == 2;
     passing_events = good && answer.event_stream && answer.has_receipt;
+    if (passing_events && affinity != 0) {
+        parts.prompt_holders.record(to_hex(affinity), target_id, first_byte_at);
+    }
     if (passing_events && !exchange->begun_answer()) {
         auto passed = head;
         drop_connection_fields(passed.fields);
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "cyclamenpost/chat_table.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
 #include "cyclamenpost/log_buffer.hpp"
 #include "cyclamenpost/routing/attempts.hpp"
@@ -23,6 +24,8 @@
     http1_client client;
     choice_weights weights;
     std::mt19937_64 random;
+    /// Target that last read the prompts this instance has seen.
+    chat_table prompt_holders;
     std::set<std::shared_ptr<detail::forward_job>> jobs;
     std::function<void(const strike&)> spread_strike;
     line_sampler sampler;
@@ -96,6 +99,7 @@
     auto target_left() -> bool;
     auto spend_retry_for_service() -> bool;
     auto time_left() const -> duration;
+    auto prompt_source(const target_choice& choice) const -> std::string;
     auto later(duration delay, void (forward_job::*step)()) -> timer;
 };
 
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -64,6 +64,7 @@
                        {},
                        std::mt19937_64{hash64(view.own_id, static_cast<std::uint64_t>(
                                                                wall_clock_ms()))},
+                       chat_table{settings.prompt_entries},
                        {},
                        {},
                        {}})
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -52,6 +52,24 @@
     return keeper;
 }
 
+/// First target in rendezvous order, besides the chosen one, that can give the prompt.
+auto find_other_holder(const target_table& table, const std::vector<std::string>& ids,
+                       const choice_query& query, const target* chosen, time_point now)
+    -> const target*
+{
+    const target* holder = nullptr;
+    auto best = std::uint64_t{0};
+    for (const auto& id : ids) {
+        const auto& place = table.targets.at(id);
+        const auto hash = hash64(id, query.affinity);
+        if (&place != chosen && can_give(place, now) && (holder == nullptr || hash > best)) {
+            holder = &place;
+            best = hash;
+        }
+    }
+    return holder;
+}
+
 auto cost_of(const target_table& table, const candidate& entry, const choice_query& query,
              const choice_weights& weights, const target* keeper, double mean, time_point now)
     -> double
@@ -108,6 +126,11 @@
 
 } // namespace
 
+auto can_give(const target& source, time_point now) -> bool
+{
+    return source.gone == absence::none && now >= source.avoid_until && !source.was_down;
+}
+
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice
 {
@@ -136,6 +159,9 @@
     if (choice.chosen != nullptr) {
         choice.why = no_target::none;
         choice.holder = choice.chosen == keeper;
+        if (query.affinity != 0) {
+            choice.other_holder = find_other_holder(table, ids->second, query, choice.chosen, now);
+        }
         choice.same_zone = choice.chosen->published.zone == table.settings.zone;
     }
     return choice;
