Read the store through three instances a zone and ask it briefly while it is away

Ruled out: longer watches (a silent connection must be noticed within 2 s); a shorter list of readers than three (two may fail at once). Change: the first three instances of a zone in hash order read; the first passes small changes on at once, all say every 0.7 s how far they have read; one that hears nothing for 1.7 s reads itself. Removals carry whether they may have lapsed. While the store is away it is asked with watches that do not wait.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -38,6 +38,9 @@
     /// Whether callers may be sent here.
     auto ready() const -> bool;
 
+    /// Whether this instance reads the store itself.
+    auto reads_store() const -> bool;
+
     /// What the instance believes of the fleet.
     auto view() const -> const fleet_view&;
 
@@ -47,10 +50,10 @@
     auto start_front() -> result<void>;
     auto start_directory() -> result<void>;
     auto apply_bounds() -> void;
-    auto on_changed(const changed_keys& keys) -> void;
-    auto apply_item(const published_item& item) -> void;
+    auto on_changed(const changed_keys& keys, bool lapsing) -> void;
+    auto apply_item(const published_item& item, bool lapsing) -> void;
     auto apply_configuration(const published_item& item) -> void;
-    auto apply_target(const std::string& id, const published_item& item) -> void;
+    auto apply_target(const std::string& id, const published_item& item, bool lapsing) -> void;
     auto apply_zone(const std::string& zone, bool out) -> void;
     auto announce_if_ready() -> void;
     auto answer_side_question(const std::shared_ptr<server_exchange>& exchange) -> void;
@@ -77,6 +80,7 @@
     timer shutdown_timer_;
     time_point started_{};
     time_point shutdown_begun_{};
+    std::uint64_t announced_revision_ = 0;
     bool announced_ = false;
 };
 
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -15,11 +15,14 @@
 
 /// What the peers tell the instance.
 struct peer_handlers {
-    std::function<void(const changed_keys&)> on_changed;
+    /// Changes of the store; `lapsing` says that removed entries may be back.
+    std::function<void(const changed_keys&, bool lapsing)> on_changed;
     std::function<void()> on_members;
     std::function<void(const strike&)> on_strike;
     /// Whether the own reading of the store works.
     std::function<bool()> store_available;
+    /// Whether entries that vanish now may have lapsed, as far as this instance reads the store.
+    std::function<bool()> may_have_lapsed;
 };
 
 /// The instance's place among the others: finds them through seeds, notices the dead, and takes the
@@ -41,8 +44,13 @@
     /// Tells the others that this instance takes no new callers.
     auto leave() -> void;
 
-    /// Tells the others the revision up to which this instance has read.
-    auto announce_revision() -> void;
+    /// Tells the others the revision up to which this instance has read, and passes changes after
+    /// `before` on when that is its task.
+    auto announce_revision(std::uint64_t before) -> void;
+
+    /// Whether this instance has to read the store itself: it is one of its zone's readers, or it
+    /// has not heard of them for a while.
+    auto reads_store() const -> bool;
 
     /// Tells the others that a target died under a request.
     auto spread(const strike& seen) -> void;
@@ -65,7 +73,13 @@
     published_state& state_;
     peer_handlers handlers_;
     cluster_node cluster_;
+    auto zone_members() const -> std::vector<std::string>;
+    auto notify_zone() -> void;
+
     timer fetch_timer_;
+    timer notice_timer_;
+    time_point last_notice_{};
+    time_point started_{};
     time_point last_fetch_{};
     bool leaving_ = false;
 };
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -19,7 +19,7 @@
     /// answers in milliseconds; a slow one takes some hundred.
     duration answer_limit = std::chrono::milliseconds{500};
     /// The limit grows to this while a store that is reached answers too late.
-    duration longest_answer_limit = std::chrono::seconds{3};
+    duration longest_answer_limit = std::chrono::milliseconds{1500};
     duration first_pause = std::chrono::milliseconds{100};
     duration longest_pause = std::chrono::milliseconds{400};
     /// Changes that follow within this time after others arrive in one call.
@@ -44,7 +44,10 @@
     /// Stops reading.
     auto stop() -> void;
 
-    /// Whether the last call was answered.
+    /// Whether this instance reads on, or leaves that to others of its zone.
+    auto set_active(bool wanted) -> void;
+
+    /// Whether this instance reads the store and its last call was answered.
     auto available() const -> bool;
 
     /// Whether entries that vanish now may have lapsed while the store was away: it is away, or came
@@ -87,6 +90,7 @@
     unsigned failures_ = 0;
     bool available_ = false;
     bool stopped_ = true;
+    bool active_ = true;
     std::optional<time_point> last_away_;
     bool others_served_ = false;
     duration extra_limit_{};
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -56,18 +56,22 @@
                       on_end_(1);
                   }),
       peers_(loop, settings_, state_,
-             {[this](const changed_keys& keys) {
+             {[this](const changed_keys& keys, bool lapsing) {
                   store_.note_others_served();
-                  on_changed(keys);
+                  on_changed(keys, lapsing);
                   store_.renew();
               },
               [this] { refresh_members(); },
               [this](const strike& seen) {
                   add_strike(view_.suspects, seen, monotonic_now());
               },
-              [this] { return store_.available(); }}),
+              [this] { return store_.available(); },
+              [this] { return store_.may_have_lapsed(lapse_window, monotonic_now()); }}),
       store_(loop, port_, {settings_.store_address}, state_,
-             {[this](const changed_keys& keys) { on_changed(keys); }, [](bool) {}}),
+             {[this](const changed_keys& keys) {
+                  on_changed(keys, store_.may_have_lapsed(lapse_window, monotonic_now()));
+              },
+              [](bool) {}}),
       forwarder_(loop, port_, view_, {}, metrics_),
       front_(loop, {},
              [this](std::shared_ptr<server_exchange> exchange) {
@@ -158,6 +162,11 @@
     return view_.routes && view_.targets_known && !view_.draining;
 }
 
+auto entry_instance::reads_store() const -> bool
+{
+    return store_.available();
+}
+
 auto entry_instance::view() const -> const fleet_view&
 {
     return view_;
@@ -174,22 +183,22 @@
     return longest;
 }
 
-auto entry_instance::on_changed(const changed_keys& keys) -> void
+auto entry_instance::on_changed(const changed_keys& keys, bool lapsing) -> void
 {
     for (const auto& key : keys) {
         const auto found = state_.items.find(key);
         if (found != state_.items.end()) {
-            apply_item(found->second);
+            apply_item(found->second, lapsing);
         }
     }
     if (state_.revision > 0) {
         view_.targets_known = true;
     }
-    peers_.announce_revision();
+    peers_.announce_revision(std::exchange(announced_revision_, state_.revision));
     announce_if_ready();
 }
 
-auto entry_instance::apply_item(const published_item& item) -> void
+auto entry_instance::apply_item(const published_item& item, bool lapsing) -> void
 {
     const auto key = port_.decode_key(item.key);
     switch (key.kind) {
@@ -197,7 +206,7 @@
         apply_configuration(item);
         return;
     case item_kind::target:
-        apply_target(key.name, item);
+        apply_target(key.name, item, lapsing);
         return;
     case item_kind::zone_out:
         apply_zone(key.name, !item.removed);
@@ -233,15 +242,15 @@
     view_.routes = std::make_shared<const route_table>(std::move(*table));
 }
 
-auto entry_instance::apply_target(const std::string& id, const published_item& item) -> void
+auto entry_instance::apply_target(const std::string& id, const published_item& item, bool lapsing)
+    -> void
 {
     const auto now = monotonic_now();
     if (item.removed) {
-        const auto lapsed = store_.may_have_lapsed(lapse_window, now);
-        remove_target(view_.targets, id, lapsed ? absence::lapsed : absence::removed, now);
+        remove_target(view_.targets, id, lapsing ? absence::lapsed : absence::removed, now);
         log_event(log_level::info, "target_gone",
                   {{"target", id},
-                   {"lapsed", lapsed ? "1" : "0"},
+                   {"lapsed", lapsing ? "1" : "0"},
                    {"revision", std::to_string(item.revision)}});
         return;
     }
@@ -294,6 +303,7 @@
 {
     const auto now = monotonic_now();
     refresh_members();
+    store_.set_active(peers_.reads_store());
     forget_gone(view_.targets, now);
     expire_strikes(view_.suspects, now);
 }
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "cyclamenpost/log.hpp"
+#include "cyclamenpost/routing/store_readers.hpp"
 
 namespace cyclamenpost {
 
@@ -22,6 +23,14 @@
 constexpr duration probe_timeout = std::chrono::milliseconds{250};
 constexpr duration revive_period = std::chrono::seconds{1};
 constexpr duration forget_time = std::chrono::seconds{60};
+// readers of the store say this often that they read it
+constexpr duration notice_period = std::chrono::milliseconds{700};
+// an instance that misses two notices reads the store itself
+constexpr duration notice_limit = std::chrono::milliseconds{1700};
+// all read the store until they know each other
+constexpr duration joining_time = std::chrono::seconds{4};
+// smaller changes are sent at once, larger ones are fetched, each instance from another reader
+constexpr std::size_t pushed_bytes = 4000;
 
 auto own_record(const entry_settings& settings) -> member_record
 {
@@ -105,6 +114,8 @@
         seeds.push_back(std::move(seed));
     }
     cluster_.apply_list(1, seeds);
+    started_ = monotonic_now();
+    notice_timer_ = loop_.call_every(notice_period, [this] { notify_zone(); });
     return {};
 }
 
@@ -112,6 +123,7 @@
 {
     cluster_.stop();
     fetch_timer_.reset();
+    notice_timer_.reset();
 }
 
 auto peers::announce_ready() -> void
@@ -125,9 +137,66 @@
     cluster_.leave();
 }
 
-auto peers::announce_revision() -> void
+auto peers::announce_revision(std::uint64_t before) -> void
 {
     cluster_.set_config(state_.revision, 0);
+    const auto readers = store_readers(zone_members());
+    const auto passes_on = !readers.empty() && readers.front() == settings_.peer_address;
+    if (!passes_on || state_.revision <= before || !handlers_.store_available()) {
+        return;
+    }
+    auto bytes = std::size_t{0};
+    for (const auto& item : changes_after(state_, before)) {
+        bytes += item.key.size() + item.value.size();
+    }
+    if (before == 0 || bytes > pushed_bytes) {
+        notify_zone();
+        return;
+    }
+    for (const auto& id : zone_members()) {
+        if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
+            send_changes(id, before);
+        }
+    }
+}
+
+auto peers::zone_members() const -> std::vector<std::string>
+{
+    auto ids = std::vector<std::string>{};
+    for (const auto& member : live_members(cluster_.members())) {
+        const auto heard = member.identity.start_ms != 0;
+        if (heard && member.zone == settings_.zone) {
+            ids.push_back(member.identity.id);
+        }
+    }
+    return ids;
+}
+
+auto peers::reads_store() const -> bool
+{
+    const auto now = monotonic_now();
+    if (now - started_ < joining_time || now - last_notice_ > notice_limit) {
+        return true;
+    }
+    const auto readers = store_readers(zone_members());
+    return std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
+}
+
+auto peers::notify_zone() -> void
+{
+    const auto readers = store_readers(zone_members());
+    const auto reads =
+        std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
+    if (!reads || !handlers_.store_available()) {
+        return;
+    }
+    auto message = wire::envelope{};
+    message.mutable_published_notice()->set_revision(state_.revision);
+    for (const auto& id : zone_members()) {
+        if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
+            cluster_.send(id, message);
+        }
+    }
 }
 
 auto peers::spread(const strike& seen) -> void
@@ -199,6 +268,10 @@
     case wire::envelope::kPublishedFetch:
         send_changes(message.from_instance(), message.published_fetch().after());
         return;
+    case wire::envelope::kPublishedNotice:
+        last_notice_ = monotonic_now();
+        on_sighting({message.from_instance(), message.published_notice().revision(), 0, 0});
+        return;
     case wire::envelope::kPublishedPart:
         take_changes(message.published_part());
         return;
@@ -221,6 +294,7 @@
         part->set_after(after);
         part->set_revision(state_.revision);
         part->set_last(last);
+        part->set_lapsing(handlers_.may_have_lapsed());
         cluster_.send(to, message);
         part->clear_changes();
         size = 0;
@@ -247,7 +321,7 @@
                   {{"revision", std::to_string(state_.revision)},
                    {"changed", std::to_string(changed.size())}});
     }
-    handlers_.on_changed(changed);
+    handlers_.on_changed(changed, part.lapsing());
 }
 
 } // namespace cyclamenpost
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -40,9 +40,22 @@
     pause_timer_.reset();
 }
 
+auto store_reader::set_active(bool wanted) -> void
+{
+    if (std::exchange(active_, wanted) == wanted || stopped_ || !listed_) {
+        return;
+    }
+    log_event(log_level::info, wanted ? "store_reading" : "store_left_to_others",
+              {{"revision", std::to_string(state_.revision)}});
+    exchange_.cancel();
+    limit_timer_.reset();
+    pause_timer_.reset();
+    watch();
+}
+
 auto store_reader::available() const -> bool
 {
-    return available_;
+    return available_ && active_;
 }
 
 auto store_reader::may_have_lapsed(duration window, time_point now) const -> bool
@@ -60,7 +73,7 @@
 
 auto store_reader::renew() -> void
 {
-    if (!stopped_ && listed_ && exchange_ && state_.revision > watched_after_) {
+    if (!stopped_ && active_ && listed_ && exchange_ && state_.revision > watched_after_) {
         exchange_.cancel();
         limit_timer_.reset();
         watch();
@@ -150,12 +163,14 @@
 
 auto store_reader::watch() -> void
 {
-    if (stopped_) {
+    if (stopped_ || !active_) {
         return;
     }
     watched_after_ = state_.revision;
-    call(port_.watch_request(port_.store_prefixes[prefix_], watched_after_, settings_.watch_wait),
-         settings_.watch_wait + settings_.answer_limit, &store_reader::on_changes);
+    // a store that was away is asked briefly, so that its return is noticed
+    const auto wait = available_ ? settings_.watch_wait : duration::zero();
+    call(port_.watch_request(port_.store_prefixes[prefix_], watched_after_, wait),
+         wait + settings_.answer_limit, &store_reader::on_changes);
 }
 
 auto store_reader::on_changes() -> void
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -186,3 +186,19 @@
     wait([&] { return addresses(1) == 1; });
     wait([&] { return ended == 1; });
 }
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: a large zone reads the store through a few, and all follow")
+{
+    start(6);
+    wait([&] { return addresses(5) == 6; });
+    const auto reading = [&] {
+        return std::count_if(instances.begin(), instances.end(),
+                             [](const auto& instance) { return instance->reads_store(); });
+    };
+    wait([&] { return reading() == 3; });
+    publish(9);
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+        wait([&] { return version(index) == 9; });
+    }
+    CHECK(reading() == 3);
+}
