Include toml++ in one place

Cause: unit-config_state, -fleet_config, -operator_cli, -platform_client and -router crashed since the platform adapter was linked into the unit tests: it included toml++ with exceptions, the library without, and the linker kept one parser of each kind. Change: cyclamenpost/detail/toml.hpp holds the options and is the only include.

--- a/src/fleet_config_detail.hpp
+++ b/src/fleet_config_detail.hpp
@@ -4,12 +4,7 @@
 #include <string_view>
 #include <vector>
 
-// toml++ 3.3 asserts that a key follows "[" although it reports other characters as an error right
-// afterwards; with the assertion a misspelt header would end the process.
-#define TOML_ASSERT(expression) static_assert(true)
-#define TOML_EXCEPTIONS 0
-#define TOML_HEADER_ONLY 1
-#include <toml++/toml.h>
+#include "cyclamenpost/detail/toml.hpp"
 
 #include "cyclamenpost/fleet_config.hpp"
 
