--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "cyclamenpost/entry/entry_instance.hpp"
+#include "cyclamenpost/entry/entry_options.hpp"
 #include "cyclamenpost/log.hpp"
 #include "platform_adapter.hpp"
 #include "platform_settings.hpp"
@@ -12,22 +13,36 @@
 namespace {
 
 constexpr auto exit_usage = 2;
+// libwebsockets and log4cplus end their lines themselves; waiting lines are handed on this often
+constexpr auto log_flush_period = std::chrono::milliseconds{100};
 
-auto read_settings_file(entry_settings& settings) -> bool
+/// Tells of an error before the log is open.
+auto tell(const error& failure) -> void
+{
+    std::cerr << describe(failure) << '\n';
+}
+
+auto read_settings_file(const entry_options& options, entry_settings& settings,
+                        void (*on_error)(const error&)) -> bool
 {
-    const auto* path = std::getenv(platform::settings_variable);
     return try_or(
         [&]() -> result<void> {
-            BOOST_LEAF_ASSIGN(settings, platform::read_settings(path != nullptr ? path : ""));
+            BOOST_LEAF_ASSIGN(settings, platform::read_settings(options.settings_file));
+            const auto host = settings.front_address.substr(0, settings.front_address.rfind(':'));
+            if (options.metrics_port > 0) {
+                settings.metrics_address = host + ":" + std::to_string(options.metrics_port);
+            }
             return {};
         },
-        [](const error& failure) {
-            log_error("settings", failure);
-            std::cerr << describe(failure) << '\n';
-        });
+        on_error);
+}
+
+auto log_reload_error(const error& failure) -> void
+{
+    log_error("reload", failure);
 }
 
-auto serve(const entry_settings& settings) -> int
+auto serve(const entry_options& options, const entry_settings& settings) -> int
 {
     auto loop = event_loop{settings.max_connections};
     auto status = 0;
@@ -41,25 +56,24 @@
             return;
         }
         auto changed = entry_settings{};
-        if (read_settings_file(changed)) {
+        if (read_settings_file(options, changed, log_reload_error)) {
             instance.reload(std::move(changed));
         }
     };
-    const auto watching = try_or([&] { return loop.watch_signals(on_signal); },
-                                 [](const error& failure) { log_error("start", failure); });
+    const auto watching = try_or([&] { return loop.watch_signals(on_signal); }, tell);
     if (!watching) {
         return 1;
     }
     // other threads inherit the signal mask that watch_signals has set
-    start_logging(log_level::info);
+    start_logging(options.level);
     log_event(log_level::info, "start",
               {{"instance", settings.name},
                {"zone", settings.zone},
                {"version", CYCLAMENPOST_VERSION},
                {"front", settings.front_address},
                {"peer", settings.peer_address},
+               {"metrics", settings.metrics_address},
                {"store", settings.store_address}});
-    constexpr auto log_flush_period = std::chrono::milliseconds{100};
     const auto flushing = loop.call_every(log_flush_period, flush_log);
     instance.start();
     loop.run();
@@ -69,8 +83,27 @@
 
 } // namespace
 
-auto main() -> int
+auto main(int argc, char** argv) -> int
 {
+    const auto* named_file = std::getenv(platform::settings_variable);
+    auto options = entry_options{};
+    options.settings_file = named_file != nullptr ? named_file : "";
+    const auto valid = try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(options, parse_entry_options(argc, argv, process_environment(),
+                                                           std::move(options)));
+            return {};
+        },
+        tell);
+    if (!valid) {
+        return exit_usage;
+    }
+    if (options.help_shown) {
+        return 0;
+    }
     auto settings = entry_settings{};
-    return read_settings_file(settings) ? serve(settings) : exit_usage;
+    if (!read_settings_file(options, settings, tell)) {
+        return exit_usage;
+    }
+    return options.check ? 0 : serve(options, settings);
 }
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -56,6 +56,7 @@
     auto apply_target(const std::string& id, const published_item& item, bool lapsing) -> void;
     auto apply_zone(const std::string& zone, bool out) -> void;
     auto announce_if_ready() -> void;
+    auto answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto answer_side_question(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto refresh_members() -> void;
     auto maintain() -> void;
@@ -76,6 +77,7 @@
     http1_server front_;
     http1_server ready_;
     http1_server directory_;
+    http1_server metrics_server_;
     timer maintenance_;
     timer shutdown_timer_;
     time_point started_{};
--- a/include/cyclamenpost/metrics.hpp
+++ b/include/cyclamenpost/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -58,6 +59,26 @@
     std::unique_ptr<state> state_;
 };
 
+/// Counts of observations up to fixed bounds, for latencies in seconds.
+class histogram {
+public:
+    /// Upper bounds in seconds; a last bucket without a bound follows.
+    static constexpr std::array bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
+                                       0.8,   1.6,  3.2,   6.4,  12.8};
+
+    /// Adds an observation in seconds. Values that are not finite are ignored.
+    auto observe(double seconds) -> void;
+    auto count() const -> std::uint64_t;
+    auto sum() const -> double;
+
+    /// Observations up to the bound with this index.
+    auto up_to(std::size_t index) const -> std::uint64_t;
+
+private:
+    std::array<std::uint64_t, bounds.size() + 1> buckets_{};
+    double sum_ = 0;
+};
+
 /// All metrics of a process. References stay valid as long as the registry.
 class metric_registry {
 public:
@@ -69,6 +90,9 @@
     auto summary_of(std::string_view name, std::string_view help, metric_labels labels = {})
         -> summary&;
 
+    auto histogram_of(std::string_view name, std::string_view help, metric_labels labels = {})
+        -> histogram&;
+
     /// All series in the Prometheus text format, sorted by name and labels.
     auto prometheus_text() const -> std::string;
 
@@ -81,6 +105,7 @@
     std::map<std::string, family<counter>, std::less<>> counters_;
     std::map<std::string, family<gauge>, std::less<>> gauges_;
     std::map<std::string, family<summary>, std::less<>> summaries_;
+    std::map<std::string, family<histogram>, std::less<>> histograms_;
 };
 
 } // namespace cyclamenpost
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -81,8 +81,12 @@
              [this](const std::shared_ptr<server_exchange>& exchange) {
                  answer_side_question(exchange);
              }),
-      directory_(loop, {}, [this](const std::shared_ptr<server_exchange>& exchange) {
-          answer_side_question(exchange);
+      directory_(loop, {},
+                 [this](const std::shared_ptr<server_exchange>& exchange) {
+                     answer_side_question(exchange);
+                 }),
+      metrics_server_(loop, {}, [this](const std::shared_ptr<server_exchange>& exchange) {
+          answer_metrics(exchange);
       })
 {
     view_.own_id = settings_.peer_address;
@@ -114,6 +118,7 @@
                              [this] {
                                  ready_.stop_listening();
                                  directory_.stop_listening();
+                                 metrics_server_.stop_listening();
                              },
                              {}});
     return root;
@@ -146,6 +151,9 @@
     if (!settings_.directory_address.empty()) {
         BOOST_LEAF_CHECK(directory_.listen(settings_.directory_address));
     }
+    if (!settings_.metrics_address.empty()) {
+        BOOST_LEAF_CHECK(metrics_server_.listen(settings_.metrics_address));
+    }
     return {};
 }
 
@@ -308,6 +316,29 @@
     expire_strikes(view_.suspects, now);
 }
 
+auto entry_instance::answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void
+{
+    const auto set = [this](const char* name, const char* help, double value) {
+        metrics_.gauge_of(name, help).set(value);
+    };
+    set("cyclamenpost_ready", "Whether callers may be sent here.", ready() ? 1 : 0);
+    set("cyclamenpost_store_available", "Whether the store is read and answers.",
+        store_.available() ? 1 : 0);
+    set("cyclamenpost_store_revision", "Revision up to which the store has been read.",
+        static_cast<double>(state_.revision));
+    set("cyclamenpost_configuration_version", "Version in force.",
+        view_.routes ? static_cast<double>(view_.routes->version) : 0);
+    set("cyclamenpost_members", "Instances known, this one included.",
+        static_cast<double>(view_.members.size()));
+    set("cyclamenpost_targets", "Targets known.",
+        static_cast<double>(view_.targets.targets.size()));
+    set("cyclamenpost_requests_running", "Requests without a final answer.",
+        static_cast<double>(forwarder_.running()));
+    set("cyclamenpost_caller_connections", "Open connections of callers.",
+        static_cast<double>(front_.connections()));
+    exchange->answer(text_head(ok, "text/plain; version=0.0.4"), metrics_.prometheus_text());
+}
+
 auto entry_instance::answer_side_question(const std::shared_ptr<server_exchange>& exchange) -> void
 {
     if (port_.is_ready_question(exchange->head)) {
--- /dev/null
+++ b/src/entry/entry_options.cpp
@@ -0,0 +1,76 @@
+#include "cyclamenpost/entry/entry_options.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <tclap/CmdLine.h>
+
+namespace cyclamenpost {
+
+namespace {
+
+constexpr auto highest_port = 65535;
+
+auto value_of(TCLAP::ValueArg<std::string>& flag, const environment& variables) -> std::string
+{
+    if (flag.isSet()) {
+        return flag.getValue();
+    }
+    const auto name = variable_name(flag.getName());
+    const auto found = std::find_if(variables.begin(), variables.end(),
+                                    [&](const auto& variable) { return variable.name == name; });
+    return found == variables.end() ? flag.getValue() : found->value;
+}
+
+auto parse_port(const std::string& text) -> result<int>
+{
+    auto port = -1;
+    const auto* last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), last, port);
+    if (parsed.ec != std::errc{} || parsed.ptr != last || port < 0 || port > highest_port) {
+        return fail(error_id::setting_invalid, step::settings, "metrics-port",
+                    "the value \"" + text + "\" is not allowed; allowed: 0 to 65535");
+    }
+    return port;
+}
+
+} // namespace
+
+auto parse_entry_options(int argc, const char* const* argv, const environment& variables,
+                         entry_options defaults) -> result<entry_options>
+{
+    using text = TCLAP::ValueArg<std::string>;
+    auto line = TCLAP::CmdLine{"Entry instance of a cyclamenpost fleet on its platform. Flags may "
+                               "also be given as CYCLAMENPOST_<FLAG>.",
+                               ' ', CYCLAMENPOST_VERSION};
+    line.setExceptionHandling(false);
+    auto file = text{"", "settings-file", "settings file of the platform", false,
+                     defaults.settings_file, "PATH", line};
+    auto level = text{"", "log-level", "debug, info, warning or error", false,
+                      std::string(name_in(log_level_names, defaults.level)), "LEVEL", line};
+    auto port = text{"", "metrics-port", "port of the metrics; 0 serves none", false,
+                     std::to_string(defaults.metrics_port), "PORT", line};
+    auto check = TCLAP::SwitchArg{"", "check", "check the settings and end", line};
+    try {
+        line.parse(argc, argv);
+    }
+    catch (const TCLAP::ExitException&) {
+        defaults.help_shown = true;
+        return defaults;
+    }
+    catch (const TCLAP::ArgException& failure) {
+        return fail(error_id::setting_invalid, step::settings, failure.argId(), failure.error());
+    }
+    defaults.settings_file = value_of(file, variables);
+    defaults.check = check.getValue();
+    const auto named = value_in(log_level_names, value_of(level, variables));
+    if (!named) {
+        return fail(error_id::setting_invalid, step::settings, "log-level",
+                    "allowed: debug, info, warning, error");
+    }
+    defaults.level = *named;
+    BOOST_LEAF_ASSIGN(defaults.metrics_port, parse_port(value_of(port, variables)));
+    return defaults;
+}
+
+} // namespace cyclamenpost
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -383,6 +383,11 @@
     if (next == next_step::retry && end != attempt_end::not_sent && !spend_retry_for_service()) {
         next = without_retry(facts);
     }
+    parts.metrics
+        .counter_of("cyclamenpost_attempts_total", "Attempts at targets by end and next step.",
+                    {{"end", std::string(name_in(attempt_end_names, end))},
+                     {"next", std::string(name_in(next_step_names, next))}})
+        .add();
     log_event(end == attempt_end::answered ? log_level::debug : log_level::info, "attempt_ended",
               {{"request", request.id},
                {"target", target_id},
@@ -494,6 +499,34 @@
                {"took_ms", milliseconds_text(now - arrived)}});
 }
 
+auto forward_job::count_end(std::string_view outcome_name, std::string_view cause) -> void
+{
+    const auto kind = std::string(name_in(route_kind_names, rule->kind));
+    const auto seconds = [this](time_point until) {
+        return std::chrono::duration<double>(until - arrived).count();
+    };
+    parts.metrics
+        .counter_of("cyclamenpost_requests_total", "Requests by kind and outcome.",
+                    {{"kind", kind}, {"outcome", std::string{outcome_name}}})
+        .add();
+    parts.metrics
+        .histogram_of("cyclamenpost_request_duration_seconds",
+                      "Time from a request's first byte to its end.", {{"kind", kind}})
+        .observe(seconds(monotonic_now()));
+    if (first_byte_at != time_point{}) {
+        parts.metrics
+            .histogram_of("cyclamenpost_first_byte_seconds",
+                          "Time from a request's first byte to the answer's.", {{"kind", kind}})
+            .observe(seconds(first_byte_at));
+    }
+    if (outcome_name != "answered") {
+        parts.metrics
+            .counter_of("cyclamenpost_unserved_total", "Requests not served, by cause.",
+                        {{"cause", std::string{cause}}})
+            .add();
+    }
+}
+
 auto forward_job::finish(int status, std::string_view outcome_name, std::string_view cause) -> void
 {
     if (std::exchange(finished, true)) {
@@ -505,11 +538,7 @@
     if (!served || sample_line(parts.sampler, now)) {
         log_end(status, outcome_name, cause);
     }
-    parts.metrics
-        .counter_of("cyclamenpost_requests_total", "Requests by outcome.",
-                    {{"kind", std::string(name_in(route_kind_names, rule->kind))},
-                     {"outcome", std::string{outcome_name}}})
-        .add();
+    count_end(outcome_name, cause);
     if (outcome_name == "answered") {
         clear_strikes(parts.view.suspects, fingerprint, now);
     }
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -94,6 +94,7 @@
     auto refuse(std::string_view cause) -> void;
     auto give_up(int status, std::string_view cause) -> void;
     auto answer_own(int status, duration retry_after, std::string_view cause) -> void;
+    auto count_end(std::string_view outcome_name, std::string_view cause) -> void;
     auto log_end(int status, std::string_view outcome_name, std::string_view cause) -> void;
     auto finish(int status, std::string_view outcome_name, std::string_view cause) -> void;
     auto target_left() -> bool;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
@@ -62,6 +63,25 @@
     out << "# TYPE " << name << ' ' << type << '\n';
 }
 
+auto write_histogram(std::ostringstream& out, const std::string& name, const metric_labels& labels,
+                     const histogram& value) -> void
+{
+    for (std::size_t index = 0; index <= histogram::bounds.size(); ++index) {
+        auto bound = std::ostringstream{};
+        if (index < histogram::bounds.size()) {
+            bound << histogram::bounds[index];
+        }
+        else {
+            bound << "+Inf";
+        }
+        auto with_bound = labels;
+        with_bound.emplace_back("le", bound.str());
+        out << name << "_bucket" << label_text(with_bound) << ' ' << value.up_to(index) << '\n';
+    }
+    out << name << "_sum" << label_text(labels) << ' ' << value.sum() << '\n';
+    out << name << "_count" << label_text(labels) << ' ' << value.count() << '\n';
+}
+
 auto write_summary(std::ostream& out, const std::string& name, const metric_labels& labels,
                    const summary& values) -> void
 {
@@ -168,6 +188,33 @@
     return acc::p_square_quantile(state_->estimates[index]);
 }
 
+auto histogram::observe(double seconds) -> void
+{
+    if (!std::isfinite(seconds)) {
+        return;
+    }
+    const auto bucket = std::lower_bound(bounds.begin(), bounds.end(), seconds) - bounds.begin();
+    ++buckets_[static_cast<std::size_t>(bucket)];
+    sum_ += seconds;
+}
+
+auto histogram::count() const -> std::uint64_t
+{
+    return up_to(bounds.size());
+}
+
+auto histogram::sum() const -> double
+{
+    return sum_;
+}
+
+auto histogram::up_to(std::size_t index) const -> std::uint64_t
+{
+    return std::accumulate(buckets_.begin(),
+                           buckets_.begin() + static_cast<std::ptrdiff_t>(index) + 1,
+                           std::uint64_t{0});
+}
+
 auto metric_registry::counter_of(std::string_view name, std::string_view help, metric_labels labels)
     -> counter&
 {
@@ -186,6 +233,12 @@
     return family_of(summaries_, name, help)[std::move(labels)];
 }
 
+auto metric_registry::histogram_of(std::string_view name, std::string_view help,
+                                   metric_labels labels) -> histogram&
+{
+    return family_of(histograms_, name, help)[std::move(labels)];
+}
+
 auto metric_registry::prometheus_text() const -> std::string
 {
     auto out = std::ostringstream{};
@@ -208,6 +261,12 @@
             write_summary(out, name, labels, value);
         }
     }
+    for (const auto& [name, values] : histograms_) {
+        write_header(out, name, values.help, "histogram");
+        for (const auto& [labels, value] : values.series) {
+            write_histogram(out, name, labels, value);
+        }
+    }
     return out.str();
 }
 
--- a/tests/unit-metrics.cpp
+++ b/tests/unit-metrics.cpp
@@ -50,3 +50,18 @@
     CHECK(values.quantile(0.5) == 2);
     CHECK(values.quantile(0.95) == 4);
 }
+
+TEST_CASE("metrics: a histogram counts up to its bounds, in the Prometheus text format")
+{
+    auto registry = metric_registry{};
+    auto& seen = registry.histogram_of("t_seconds", "Time.", {{"kind", "a"}});
+    seen.observe(0.005);
+    seen.observe(0.3);
+    seen.observe(60);
+    const auto text = registry.prometheus_text();
+    CHECK(text.find("# TYPE t_seconds histogram") != std::string::npos);
+    CHECK(text.find("t_seconds_bucket{kind=\"a\",le=\"0.005\"} 1") != std::string::npos);
+    CHECK(text.find("t_seconds_bucket{kind=\"a\",le=\"0.4\"} 2") != std::string::npos);
+    CHECK(text.find("t_seconds_bucket{kind=\"a\",le=\"+Inf\"} 3") != std::string::npos);
+    CHECK(text.find("t_seconds_count{kind=\"a\"} 3") != std::string::npos);
+}
