--- a/fakes/lib/target_stand_in.cpp
+++ b/fakes/lib/target_stand_in.cpp
@@ -59,6 +59,11 @@
     return id_;
 }
 
+auto target_stand_in::address() const -> const std::string&
+{
+    return address_;
+}
+
 auto target_stand_in::key() const -> std::string
 {
     return "servers/" + id_;
--- a/fakes/lib/target_stand_in.hpp
+++ b/fakes/lib/target_stand_in.hpp
@@ -50,6 +50,7 @@
     auto entry(const std::string& state = "ready") const -> std::string;
 
     auto id() const -> const std::string&;
+    auto address() const -> const std::string&;
 
     /// Key of the target's entry in the store.
     auto key() const -> std::string;
