Send large changes deflated, small ones first, and each instance's from another reader

Change: values over 4 KB travel in the zlib format; small changes go first and at once; an instance asks one of the zone's readers by hash and asks again only after 1.5 s.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -25,6 +25,12 @@
     std::function<bool()> may_have_lapsed;
 };
 
+/// A large value in the form in which it travels.
+struct deflated_value {
+    std::uint64_t revision = 0;
+    std::string bytes;
+};
+
 /// The instance's place among the others: finds them through seeds, notices the dead, and takes the
 /// store's changes from one that has them while the store does not answer this instance.
 class peers {
@@ -64,7 +70,9 @@
 private:
     auto on_sighting(const config_sighting& seen) -> void;
     auto on_message(const wire::envelope& message) -> void;
-    auto send_changes(const std::string& to, std::uint64_t after) -> void;
+    auto send_changes(const std::string& to, std::uint64_t after, std::size_t largest) -> void;
+    auto add_change(wire::published_part& part, const published_item& item) -> std::size_t;
+    auto source_of(const config_sighting& seen) const -> std::string;
     auto take_changes(const wire::published_part& part) -> void;
     auto fetch(const std::string& from) -> void;
 
@@ -81,6 +89,10 @@
     time_point last_notice_{};
     time_point started_{};
     time_point last_fetch_{};
+    /// An answer to the last fetch is still to come.
+    bool fetching_ = false;
+    /// Large values as they are sent, by key.
+    std::map<std::string, deflated_value> deflated_;
     bool leaving_ = false;
 };
 
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -5,6 +5,7 @@
 
 #include "cyclamenpost/log.hpp"
 #include "cyclamenpost/routing/store_readers.hpp"
+#include "cyclamenpost/transport/deflate.hpp"
 
 namespace cyclamenpost {
 
@@ -17,6 +18,8 @@
 // the own watch usually brings a change before a peer can; it is given this much time
 constexpr duration own_watch_time = std::chrono::milliseconds{400};
 constexpr duration fetch_pause = std::chrono::milliseconds{300};
+// a fetch whose last part has not come after this time is asked again; slow links take long
+constexpr duration fetch_limit = std::chrono::milliseconds{1500};
 // an instance that misses probes is called dead after this time; the directory leaves it out as
 // soon as it is suspected
 constexpr duration suspicion_time = std::chrono::milliseconds{2500};
@@ -29,7 +32,7 @@
 constexpr duration notice_limit = std::chrono::milliseconds{1700};
 // all read the store until they know each other
 constexpr duration joining_time = std::chrono::seconds{4};
-// smaller changes are sent at once, larger ones are fetched, each instance from another reader
+// smaller values are sent at once, larger ones are fetched, each instance from another reader
 constexpr std::size_t pushed_bytes = 4000;
 
 auto own_record(const entry_settings& settings) -> member_record
@@ -69,16 +72,6 @@
     return chosen;
 }
 
-auto add_change(wire::published_part& part, const published_item& item) -> std::size_t
-{
-    auto& change = *part.add_changes();
-    change.set_key(item.key);
-    change.set_value(item.value);
-    change.set_revision(item.revision);
-    change.set_removed(item.removed);
-    return item.key.size() + item.value.size();
-}
-
 auto make_cluster(event_loop& loop, const entry_settings& settings) -> cluster_node
 {
     auto self = own_record(settings);
@@ -145,19 +138,14 @@
     if (!passes_on || state_.revision <= before || !handlers_.store_available()) {
         return;
     }
-    auto bytes = std::size_t{0};
-    for (const auto& item : changes_after(state_, before)) {
-        bytes += item.key.size() + item.value.size();
-    }
-    if (before == 0 || bytes > pushed_bytes) {
-        notify_zone();
-        return;
-    }
-    for (const auto& id : zone_members()) {
-        if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
-            send_changes(id, before);
+    if (before > 0) {
+        for (const auto& id : zone_members()) {
+            if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
+                send_changes(id, before, pushed_bytes);
+            }
         }
     }
+    notify_zone();
 }
 
 auto peers::zone_members() const -> std::vector<std::string>
@@ -236,25 +224,40 @@
 
 auto peers::on_sighting(const config_sighting& seen) -> void
 {
-    if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < fetch_pause) {
+    const auto pause = fetching_ ? fetch_limit : fetch_pause;
+    if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < pause) {
         return;
     }
     if (!handlers_.store_available()) {
-        fetch(seen.from);
+        fetch(source_of(seen));
         return;
     }
     if (!fetch_timer_.pending()) {
         fetch_timer_ = loop_.call_after(own_watch_time, [this, seen] {
             if (state_.revision < seen.version) {
-                fetch(seen.from);
+                fetch(source_of(seen));
             }
         });
     }
 }
 
+/// Instance that is asked for changes: one of the zone's readers, another one for each instance so
+/// that no link carries a large configuration for all, or whoever was seen to have them.
+auto peers::source_of(const config_sighting& seen) const -> std::string
+{
+    auto readers = store_readers(zone_members());
+    std::erase(readers, settings_.peer_address);
+    const auto heard = monotonic_now() - last_notice_ < notice_limit;
+    if (readers.empty() || !heard) {
+        return seen.from;
+    }
+    return readers[hash64(settings_.peer_address) % readers.size()];
+}
+
 auto peers::fetch(const std::string& from) -> void
 {
     last_fetch_ = monotonic_now();
+    fetching_ = true;
     log_event(log_level::info, "changes_asked",
               {{"peer", from}, {"after", std::to_string(state_.revision)}});
     auto message = wire::envelope{};
@@ -266,7 +269,8 @@
 {
     switch (message.body_case()) {
     case wire::envelope::kPublishedFetch:
-        send_changes(message.from_instance(), message.published_fetch().after());
+        send_changes(message.from_instance(), message.published_fetch().after(),
+                     max_message_bytes);
         return;
     case wire::envelope::kPublishedNotice:
         last_notice_ = monotonic_now();
@@ -284,9 +288,38 @@
     }
 }
 
-auto peers::send_changes(const std::string& to, std::uint64_t after) -> void
+auto peers::add_change(wire::published_part& part, const published_item& item) -> std::size_t
+{
+    auto& change = *part.add_changes();
+    change.set_key(item.key);
+    change.set_revision(item.revision);
+    change.set_removed(item.removed);
+    if (item.value.size() <= pushed_bytes) {
+        change.set_value(item.value);
+        return item.key.size() + item.value.size();
+    }
+    auto& known = deflated_[item.key];
+    if (known.revision != item.revision) {
+        known = {item.revision, deflate_bytes(item.value).value_or(std::string{})};
+    }
+    if (known.bytes.empty()) {
+        change.set_value(item.value);
+        return item.key.size() + item.value.size();
+    }
+    change.set_value(known.bytes);
+    change.set_inflated_bytes(static_cast<std::uint32_t>(item.value.size()));
+    return item.key.size() + known.bytes.size();
+}
+
+/// Sends the changes after a revision whose values are at most `largest` bytes, the small ones
+/// first. When some are left out, the receiver's revision stays as it is.
+auto peers::send_changes(const std::string& to, std::uint64_t after, std::size_t largest) -> void
 {
-    const auto changes = changes_after(state_, after);
+    auto changes = changes_after(state_, after);
+    std::stable_sort(changes.begin(), changes.end(), [](const auto& left, const auto& right) {
+        return left.value.size() < right.value.size();
+    });
+    const auto whole = changes.empty() || changes.back().value.size() <= largest;
     auto message = wire::envelope{};
     auto* part = message.mutable_published_part();
     auto size = std::size_t{0};
@@ -300,21 +333,34 @@
         size = 0;
     };
     for (const auto& item : changes) {
-        if (size > 0 && size + item.value.size() > part_bytes) {
+        if (item.value.size() > largest) {
+            break;
+        }
+        if (size > 0 && size + std::min(item.value.size(), part_bytes) > part_bytes) {
             flush(false);
         }
         size += add_change(*part, item);
     }
-    flush(true);
+    flush(whole);
 }
 
 auto peers::take_changes(const wire::published_part& part) -> void
 {
     auto items = std::vector<published_item>{};
+    auto whole = part.last();
     for (const auto& change : part.changes()) {
-        items.push_back({change.key(), change.value(), change.revision(), change.removed()});
+        const auto as_is = change.inflated_bytes() == 0;
+        auto value = as_is ? std::optional{change.value()}
+                           : inflate_bytes(change.value(), change.inflated_bytes());
+        if (!value) {
+            log_event(log_level::warning, "change_unreadable", {{"key", change.key()}});
+            whole = false;
+            continue;
+        }
+        items.push_back({change.key(), std::move(*value), change.revision(), change.removed()});
     }
-    const auto revision = part.last() ? part.revision() : 0;
+    fetching_ = fetching_ && !part.last();
+    const auto revision = whole ? part.revision() : 0;
     const auto changed = apply_changes(state_, part.after(), revision, items);
     if (part.last()) {
         log_event(log_level::info, "changes_taken",
