Log a child that cannot start and let a server listen again on its own address

The readiness address was taken once (the soak had chosen an ephemeral port that an outgoing connection got while the instance was down); after that the restart failed on the other address, where the half-started child itself still listened. Ruled out: a leak of listeners on stop (the child was never started). Change: the supervisor logs the error with step and peer; listen closes what it held before; the soak picks ports below the ephemeral range. Conclusion: a taken port now costs one restart.

--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -16,11 +16,30 @@
 
 constexpr duration pause_time = std::chrono::milliseconds{1500};
 
+// instances keep their addresses over restarts, so they lie below the ports that the kernel hands
+// to outgoing connections
+constexpr auto first_port = 20000;
+constexpr auto port_range = 12000;
+
+/// The next address that can be listened on, from a start that differs between processes.
 auto free_address(event_loop& loop) -> result<std::string>
 {
-    auto listener = tcp_listener{};
-    BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, "127.0.0.1:0", {}));
-    return "127.0.0.1:" + std::to_string(listener.port());
+    static auto next = static_cast<int>(getpid()) * 37 % port_range;
+    for (auto tries = 0; tries < port_range; ++tries) {
+        next = (next + 1) % port_range;
+        const auto address = "127.0.0.1:" + std::to_string(first_port + next);
+        auto listener = tcp_listener{};
+        const auto opened = try_or(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, address, {}));
+                return {};
+            },
+            [](const error&) {});
+        if (opened) {
+            return address;
+        }
+    }
+    return fail(error_id::listen_failed, step::listen, "127.0.0.1", "no port is free");
 }
 
 auto route_entry(const char* name, const char* kind, const char* service, int attempts, bool prompt)
--- a/src/supervisor.cpp
+++ b/src/supervisor.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenpost/supervisor.hpp"
 
+#include "cyclamenpost/log.hpp"
+
 #include <algorithm>
 
 namespace cyclamenpost {
@@ -75,7 +77,8 @@
 
 auto supervisor::start_node(supervised& node) -> void
 {
-    const auto started = try_or([&] { return node.start(); }, [](const error&) {});
+    const auto started = try_or([&] { return node.start(); },
+                                [&](const error& failure) { log_error("child_start", failure); });
     if (!started) {
         fail_node(node);
         return;
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -361,6 +361,8 @@
 
 auto http1_server::listen(const std::string& address) -> result<void>
 {
+    // after a failed start of a sibling, this server may still listen on the address
+    state_->listener.close();
     BOOST_LEAF_ASSIGN(
         state_->listener,
         tcp_listener::open(*state_->loop, address,
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -166,3 +166,11 @@
     send_and_wait("ok", 1);
     CHECK(requests[0]->body == "ok");
 }
+
+TEST_CASE_FIXTURE(server_test, "http1_server: a server that is started again listens on its own address")
+{
+    const auto address = "127.0.0.1:" + std::to_string(server.port());
+    CHECK(try_or([&] { return server.listen(address); },
+                 [](const error& failure) { MESSAGE(describe(failure)); }));
+    CHECK(address.ends_with(std::to_string(server.port())));
+}
--- a/tests/unit-supervisor.cpp
+++ b/tests/unit-supervisor.cpp
@@ -1,5 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <array>
+
+#include <unistd.h>
+
+#include "cyclamenpost/log.hpp"
 #include "cyclamenpost/supervisor.hpp"
 
 using namespace cyclamenpost;
@@ -110,3 +115,24 @@
     CHECK(seen.loop.run_until([&] { return later; }, 10s));
     CHECK(tree.running().empty());
 }
+
+TEST_CASE("a child that cannot start is logged with step and peer")
+{
+    auto ends = std::array<int, 2>{};
+    REQUIRE(pipe(ends.data()) == 0);
+    start_logging(log_level::info, ends[1]);
+    recorder record;
+    record.failing_starts = 1;
+    auto tree = record.make();
+    tree.start(record.node("bad"));
+    flush_log();
+    auto buffer = std::array<char, 4096>{};
+    const auto count = read(ends[0], buffer.data(), buffer.size());
+    start_logging(log_level::error, 2);
+    close(ends[0]);
+    close(ends[1]);
+    REQUIRE(count > 0);
+    const auto text = std::string(buffer.data(), static_cast<std::size_t>(count));
+    CHECK(text.find("event=child_start") != std::string::npos);
+    CHECK(text.find("step=listen peer=bad") != std::string::npos);
+}
