--- a/daemons/cyclamenpostd.cpp
+++ b/daemons/cyclamenpostd.cpp
@@ -18,17 +18,16 @@
                                status = reached;
                                loop.stop();
                            }};
-    const auto watching =
-        try_or(
-            [&] {
-                return loop.watch_signals([&](int signal) {
-                    // settings come from flags and environment, which a running process keeps
-                    if (signal != SIGHUP) {
-                        instance.begin_shutdown();
-                    }
-                });
-            },
-               [](const error& failure) { log_error("start", failure); });
+    const auto watching = try_or(
+        [&] {
+            return loop.watch_signals([&](int signal) {
+                // settings come from flags and environment, which a running process keeps
+                if (signal != SIGHUP) {
+                    instance.begin_shutdown();
+                }
+            });
+        },
+        [](const error& failure) { log_error("start", failure); });
     if (!watching) {
         return 1;
     }
--- a/fakes/lib/fault_proxy.cpp
+++ b/fakes/lib/fault_proxy.cpp
@@ -14,11 +14,11 @@
 
 auto fault_proxy::listen() -> result<void>
 {
-    BOOST_LEAF_ASSIGN(listener_, tcp_listener::open(loop_, "127.0.0.1:0",
-                                                    [this](tcp_connection accepted,
-                                                           const std::string&) {
-                                                        accept(std::move(accepted));
-                                                    }));
+    BOOST_LEAF_ASSIGN(listener_,
+                      tcp_listener::open(loop_, "127.0.0.1:0",
+                                         [this](tcp_connection accepted, const std::string&) {
+                                             accept(std::move(accepted));
+                                         }));
     return {};
 }
 
@@ -32,8 +32,8 @@
     mode_ = mode;
     for (const auto& open : links_) {
         open->silent_requests = open->silent_requests || mode == link_mode::silent;
-        open->silent_answers = open->silent_answers || mode == link_mode::silent ||
-                               mode == link_mode::silent_answers;
+        open->silent_answers =
+            open->silent_answers || mode == link_mode::silent || mode == link_mode::silent_answers;
     }
 }
 
--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -27,7 +27,7 @@
     static auto next = static_cast<int>(getpid()) * 37 % port_range;
     for (auto tries = 0; tries < port_range; ++tries) {
         next = (next + 1) % port_range;
-        const auto address = "127.0.0.1:" + std::to_string(first_port + next);
+        auto address = "127.0.0.1:" + std::to_string(first_port + next);
         auto listener = tcp_listener{};
         const auto opened = try_or(
             [&]() -> result<void> {
@@ -45,19 +45,27 @@
 auto route_entry(const char* name, const char* kind, const char* service, int attempts, bool prompt)
     -> nlohmann::json
 {
-    return {{"name", name},          {"hostname", "soak.example"},
+    return {{"name", name},
+            {"hostname", "soak.example"},
             {"prefix", std::string{"/"} + name + "/"},
-            {"route_type", kind},    {"timeout_ms", 3000},
-            {"slo_ms", 400},         {"priority", 1},
-            {"backend", service},    {"max_attempts", attempts},
-            {"public", false},       {"session_affinity", prompt},
+            {"route_type", kind},
+            {"timeout_ms", 3000},
+            {"slo_ms", 400},
+            {"priority", 1},
+            {"backend", service},
+            {"max_attempts", attempts},
+            {"public", false},
+            {"session_affinity", prompt},
             {"stream_resume", prompt}};
 }
 
 auto service_entry(const char* name) -> nlohmann::json
 {
-    return {{"name", name}, {"health_path", "/healthz"}, {"max_connections", 50},
-            {"cold_start_s", 0.5}, {"cold_per_s", 0.0}};
+    return {{"name", name},
+            {"health_path", "/healthz"},
+            {"max_connections", 50},
+            {"cold_start_s", 0.5},
+            {"cold_per_s", 0.0}};
 }
 
 } // namespace
@@ -135,8 +143,8 @@
     const auto log = "soak-" + instance.name + ".log";
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
-    if (posix_spawn(&instance.process, options_.program.c_str(), &actions, nullptr,
-                    pointers.data(), environ) != 0) {
+    if (posix_spawn(&instance.process, options_.program.c_str(), &actions, nullptr, pointers.data(),
+                    environ) != 0) {
         instance.process = -1;
     }
     posix_spawn_file_actions_destroy(&actions);
@@ -149,8 +157,8 @@
     auto& target = targets_.emplace_back();
     target.service = service;
     target.zone = zone;
-    target.server = std::make_unique<target_stand_in>(
-        loop_, "t-" + std::to_string(next_target_++), service, zone);
+    target.server = std::make_unique<target_stand_in>(loop_, "t-" + std::to_string(next_target_++),
+                                                      service, zone);
     BOOST_LEAF_CHECK(target.server->listen("127.0.0.1:0"));
     target.server->set_delay(std::chrono::milliseconds{8});
     target.link = std::make_unique<fault_proxy>(loop_, target.server->address());
@@ -168,14 +176,14 @@
 
 auto soak_fleet::publish_configuration() -> void
 {
-    const auto configuration = nlohmann::json{
-        {"version", ++version_},
-        {"routes",
-         {route_entry("book", "non_idempotent", "app", 1, false),
-          route_entry("read", "idempotent", "app", 2, false),
-          route_entry("quote", "streaming", "engine", 2, true)}},
-        {"services", {service_entry("app"), service_entry("engine")}},
-        {"tenants", {{{"name", "buyer"}, {"api_keys", {key(), "always"}}}}}};
+    const auto configuration =
+        nlohmann::json{{"version", ++version_},
+                       {"routes",
+                        {route_entry("book", "non_idempotent", "app", 1, false),
+                         route_entry("read", "idempotent", "app", 2, false),
+                         route_entry("quote", "streaming", "engine", 2, true)}},
+                       {"services", {service_entry("app"), service_entry("engine")}},
+                       {"tenants", {{{"name", "buyer"}, {"api_keys", {key(), "always"}}}}}};
     store_.put("op/config", configuration.dump());
 }
 
@@ -191,10 +199,10 @@
     }
     const auto old_key = target.server->key();
     target.link->reset_all();
-    target.server = std::make_unique<target_stand_in>(
-        loop_, "t-" + std::to_string(next_target_++), target.service, target.zone);
-    const auto listening = try_or([&] { return target.server->listen("127.0.0.1:0"); },
-                                  [](const error&) {});
+    target.server = std::make_unique<target_stand_in>(loop_, "t-" + std::to_string(next_target_++),
+                                                      target.service, target.zone);
+    const auto listening =
+        try_or([&] { return target.server->listen("127.0.0.1:0"); }, [](const error&) {});
     target.server->set_delay(std::chrono::milliseconds{8});
     target.link = std::make_unique<fault_proxy>(loop_, target.server->address());
     const auto linked = try_or([&] { return target.link->listen(); }, [](const error&) {});
--- a/fakes/lib/store_stand_in.cpp
+++ b/fakes/lib/store_stand_in.cpp
@@ -17,9 +17,8 @@
 auto base64(const std::string& text) -> std::string
 {
     auto encoded = std::string(text.size() * 2 + 8, '\0');
-    const auto size =
-        lws_b64_encode_string(text.data(), static_cast<int>(text.size()), encoded.data(),
-                              static_cast<int>(encoded.size()));
+    const auto size = lws_b64_encode_string(text.data(), static_cast<int>(text.size()),
+                                            encoded.data(), static_cast<int>(encoded.size()));
     encoded.resize(static_cast<std::size_t>(std::max(size, 0)));
     return encoded;
 }
--- a/fakes/lib/target_stand_in.cpp
+++ b/fakes/lib/target_stand_in.cpp
@@ -46,10 +46,14 @@
 
 auto target_stand_in::entry(const std::string& state) const -> std::string
 {
-    return nlohmann::json{{"backend", service_}, {"address", address_},
-                          {"zone", zone_},       {"version", "v1"},
-                          {"capacity", 8},       {"state", state},
-                          {"seq", 1},            {"cold_remaining_ms", 0},
+    return nlohmann::json{{"backend", service_},
+                          {"address", address_},
+                          {"zone", zone_},
+                          {"version", "v1"},
+                          {"capacity", 8},
+                          {"state", state},
+                          {"seq", 1},
+                          {"cold_remaining_ms", 0},
                           {"born", 1}}
         .dump();
 }
@@ -152,8 +156,8 @@
         return;
     }
     if (!find_field(work.exchange->head.fields, "X-Prompt-Prefix")) {
-        work.exchange->answer(head_for(work, ok), "answer of " + id_ + " to " +
-                                                      work.exchange->body);
+        work.exchange->answer(head_for(work, ok),
+                              "answer of " + id_ + " to " + work.exchange->body);
         end(work);
         return;
     }
--- a/fakes/soak.cpp
+++ b/fakes/soak.cpp
@@ -94,8 +94,8 @@
                            {"X-Deadline-Ms", "3000"},
                            {"X-Api-Key", "always"}};
     if (caller.kind == "quote") {
-        request.head.fields.push_back({"X-Prompt-Prefix", "a1:50,b" + std::to_string(number % 5) +
-                                                              ":900,c1:10"});
+        request.head.fields.push_back(
+            {"X-Prompt-Prefix", "a1:50,b" + std::to_string(number % 5) + ":900,c1:10"});
     }
     request.body = caller.kind == "read" ? "" : caller.id;
     auto handlers = exchange_handlers{};
@@ -134,7 +134,7 @@
         refused.push_back(caller.id);
     }
     if (whole && caller.status == ok) {
-        const auto right = caller.kind == "quote" ? caller.body == whole_stream()
+        const auto right = caller.kind == "quote"  ? caller.body == whole_stream()
                            : caller.kind == "book" ? caller.body.ends_with(" to " + caller.id)
                                                    : caller.body.starts_with("answer of ");
         if (!right) {
@@ -190,8 +190,7 @@
         violations.push_back("callers are not served again after the faults");
     }
     if (fleet.own_ends() > 0) {
-        violations.push_back("processes ended by themselves: " +
-                             std::to_string(fleet.own_ends()));
+        violations.push_back("processes ended by themselves: " + std::to_string(fleet.own_ends()));
     }
     std::cout << "seed " << options.seed;
     for (const auto& [what, count] : counts) {
@@ -234,10 +233,12 @@
 {
     auto line = TCLAP::CmdLine{"Random faults on a real fleet, with the promises checked", ' ',
                                CYCLAMENPOST_VERSION};
-    auto program = TCLAP::ValueArg<std::string>{"", "program", "entry daemon", true, "", "PATH",
-                                                line};
-    auto seed = TCLAP::ValueArg<std::uint64_t>{"", "seed", "seed of the faults", false, 1, "N", line};
-    auto seconds = TCLAP::ValueArg<int>{"", "seconds", "length of the faults", false, 20, "S", line};
+    auto program =
+        TCLAP::ValueArg<std::string>{"", "program", "entry daemon", true, "", "PATH", line};
+    auto seed =
+        TCLAP::ValueArg<std::uint64_t>{"", "seed", "seed of the faults", false, 1, "N", line};
+    auto seconds =
+        TCLAP::ValueArg<int>{"", "seconds", "length of the faults", false, 20, "S", line};
     auto instances = TCLAP::ValueArg<int>{"", "instances", "entry instances", false, 4, "N", line};
     auto callers = TCLAP::ValueArg<int>{"", "callers", "callers at once", false, 12, "N", line};
     line.parse(argc, argv);
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -26,8 +26,8 @@
     unsigned max_connections = 1024;
     std::size_t memory_bytes = std::size_t{256} << 20U;
 
-    /// Members are known about this long after a start; before, cold targets get nothing and nothing
-    /// is retried on the fleet's account. Joining takes one or two probes.
+    /// Members are known about this long after a start; before, cold targets get nothing and
+    /// nothing is retried on the fleet's account. Joining takes one or two probes.
     duration settling = std::chrono::milliseconds{2500};
     /// Longest time from a request to stop until the process is killed.
     duration grace = std::chrono::seconds{8};
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -50,9 +50,9 @@
     /// Whether this instance reads the store and its last call was answered.
     auto available() const -> bool;
 
-    /// Whether entries that vanish now may have lapsed while the store was away: it is away, or came
-    /// back less than `window` ago. An outage of this instance alone does not count, since others
-    /// kept the entries alive.
+    /// Whether entries that vanish now may have lapsed while the store was away: it is away, or
+    /// came back less than `window` ago. An outage of this instance alone does not count, since
+    /// others kept the entries alive.
     auto may_have_lapsed(duration window, time_point now) const -> bool;
 
     /// A peer has newer changes: the store serves others.
--- a/include/cyclamenpost/metrics.hpp
+++ b/include/cyclamenpost/metrics.hpp
@@ -63,8 +63,8 @@
 class histogram {
 public:
     /// Upper bounds in seconds; a last bucket without a bound follows.
-    static constexpr std::array bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
-                                       0.8,   1.6,  3.2,   6.4,  12.8};
+    static constexpr std::array bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                       0.4,   0.8,  1.6,   3.2,  6.4, 12.8};
 
     /// Adds an observation in seconds. Values that are not finite are ignored.
     auto observe(double seconds) -> void;
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -87,8 +87,7 @@
 auto publish_target(target_table& table, const published_target& entry, time_point now) -> void;
 
 /// Takes an entry from the list. `lapsed` says that it vanished while the store was away.
-auto remove_target(target_table& table, const std::string& id, absence why, time_point now)
-    -> void;
+auto remove_target(target_table& table, const std::string& id, absence why, time_point now) -> void;
 
 /// Takes a zone out, or back; then its targets count as cold for `cold_time`.
 auto set_zone_out(target_table& table, const std::string& zone, bool out, duration cold_time,
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -62,9 +62,7 @@
                   store_.renew();
               },
               [this] { refresh_members(); },
-              [this](const strike& seen) {
-                  add_strike(view_.suspects, seen, monotonic_now());
-              },
+              [this](const strike& seen) { add_strike(view_.suspects, seen, monotonic_now()); },
               [this] { return store_.available(); },
               [this] { return store_.may_have_lapsed(lapse_window, monotonic_now()); }}),
       store_(loop, port_, {settings_.store_address}, state_,
@@ -114,7 +112,8 @@
         {"store", [this] { return start_store(); }, [this] { store_.stop(); }, {}});
     root.children.push_back(
         {"front", [this] { return start_front(); }, [this] { front_.stop_listening(); }, {}});
-    root.children.push_back({"directory", [this] { return start_directory(); },
+    root.children.push_back({"directory",
+                             [this] { return start_directory(); },
                              [this] {
                                  ready_.stop_listening();
                                  directory_.stop_listening();
@@ -297,14 +296,15 @@
 
 auto entry_instance::refresh_members() -> void
 {
-    const auto settled = started_ != time_point{} && monotonic_now() - started_ > settings_.settling;
+    const auto settled =
+        started_ != time_point{} && monotonic_now() - started_ > settings_.settling;
     view_.members = settled ? peers_.all_ids() : std::vector<std::string>{};
     const auto count = std::max<std::size_t>(view_.members.size(), 1);
     constexpr double window_seconds = retry_budget::window_seconds;
     view_.retries.share = settings_.retry_share * retry_part;
-    view_.retries.per_second = settled ? settings_.retry_slack * retry_part / window_seconds /
-                                             static_cast<double>(count)
-                                       : 0;
+    view_.retries.per_second =
+        settled ? settings_.retry_slack * retry_part / window_seconds / static_cast<double>(count)
+                : 0;
 }
 
 auto entry_instance::maintain() -> void
@@ -351,8 +351,9 @@
         return;
     }
     const auto entries = peers_.usable();
-    const auto addresses = directory_addresses(
-        entries, query->zone, static_cast<std::uint64_t>(monotonic_now().time_since_epoch().count()));
+    const auto addresses =
+        directory_addresses(entries, query->zone,
+                            static_cast<std::uint64_t>(monotonic_now().time_since_epoch().count()));
     if (addresses.empty()) {
         exchange->answer(text_head(service_unavailable, "text/plain"), {});
         return;
@@ -389,11 +390,11 @@
     if (!done) {
         return;
     }
-    log_event(log_level::info, "stop",
-              {{"running", std::to_string(forwarder_.running())},
-               {"waited_ms",
-                std::to_string(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())}});
+    log_event(
+        log_level::info, "stop",
+        {{"running", std::to_string(forwarder_.running())},
+         {"waited_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())}});
     shutdown_timer_.reset();
     supervisor_.stop();
     on_end_(0);
--- a/src/entry/entry_options.cpp
+++ b/src/entry/entry_options.cpp
@@ -44,12 +44,23 @@
                                "also be given as CYCLAMENPOST_<FLAG>.",
                                ' ', CYCLAMENPOST_VERSION};
     line.setExceptionHandling(false);
-    auto file = text{"", "settings-file", "settings file of the platform", false,
-                     defaults.settings_file, "PATH", line};
-    auto level = text{"", "log-level", "debug, info, warning or error", false,
-                      std::string(name_in(log_level_names, defaults.level)), "LEVEL", line};
-    auto port = text{"", "metrics-port", "port of the metrics; 0 serves none", false,
-                     std::to_string(defaults.metrics_port), "PORT", line};
+    auto file = text{"",    "settings-file",        "settings file of the platform",
+                     false, defaults.settings_file, "PATH",
+                     line};
+    auto level = text{"",
+                      "log-level",
+                      "debug, info, warning or error",
+                      false,
+                      std::string(name_in(log_level_names, defaults.level)),
+                      "LEVEL",
+                      line};
+    auto port = text{"",
+                     "metrics-port",
+                     "port of the metrics; 0 serves none",
+                     false,
+                     std::to_string(defaults.metrics_port),
+                     "PORT",
+                     line};
     auto check = TCLAP::SwitchArg{"", "check", "check the settings and end", line};
     try {
         line.parse(argc, argv);
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -85,8 +85,7 @@
     query.cold_per_second = service->cold_per_second;
     query.own_id = parts.view.own_id;
     query.members = &parts.view.members;
-    const auto choice =
-        choose_target(parts.view.targets, query, parts.weights, monotonic_now());
+    const auto choice = choose_target(parts.view.targets, query, parts.weights, monotonic_now());
     if (choice.chosen == nullptr) {
         wait_for_target(choice.why);
         return;
@@ -163,11 +162,11 @@
         end_attempt(attempt_end::not_sent, target_outcome::unreachable, "no_connection");
         return;
     }
-    attempt_timer = later(
-        attempt.connected() ? std::max<duration>(rule->objective * silent_objectives,
-                                                 shortest_silence)
-                            : parts.settings.connect_limit,
-        &forward_job::on_attempt_late);
+    attempt_timer =
+        later(attempt.connected()
+                  ? std::max<duration>(rule->objective * silent_objectives, shortest_silence)
+                  : parts.settings.connect_limit,
+              &forward_job::on_attempt_late);
 }
 
 /// Address of another target that probably keeps the prompt, when the chosen one probably does not:
@@ -186,8 +185,7 @@
     if (found != known.end() && can_give(found->second, monotonic_now())) {
         return found->second.published.address;
     }
-    return choice.other_holder != nullptr ? choice.other_holder->published.address
-                                          : std::string{};
+    return choice.other_holder != nullptr ? choice.other_holder->published.address : std::string{};
 }
 
 auto forward_job::on_attempt_late() -> void
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -55,19 +55,19 @@
 
 forwarder::forwarder(event_loop& loop, const platform_port& port, fleet_view& view,
                      forwarder_settings settings, metric_registry& metrics)
-    : parts_(new parts{loop,
-                       port,
-                       view,
-                       settings,
-                       metrics,
-                       http1_client{loop, settings.idle_limit},
-                       {},
-                       std::mt19937_64{hash64(view.own_id, static_cast<std::uint64_t>(
-                                                               wall_clock_ms()))},
-                       chat_table{settings.prompt_entries},
-                       {},
-                       {},
-                       {}})
+    : parts_(new parts{
+          loop,
+          port,
+          view,
+          settings,
+          metrics,
+          http1_client{loop, settings.idle_limit},
+          {},
+          std::mt19937_64{hash64(view.own_id, static_cast<std::uint64_t>(wall_clock_ms()))},
+          chat_table{settings.prompt_entries},
+          {},
+          {},
+          {}})
 {}
 
 forwarder::~forwarder()
@@ -124,8 +124,7 @@
     job->rule = rule;
     job->service = find_service(*view.routes, choose_service(*rule, hash64(job->request.id)));
     job->organisation_name = caller != nullptr ? caller->name : std::string{};
-    job->priority =
-        caller != nullptr && caller->priority ? *caller->priority : rule->priority;
+    job->priority = caller != nullptr && caller->priority ? *caller->priority : rule->priority;
     read_prompt(*job);
     parts_->jobs.insert(job);
     job->start();
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -269,8 +269,7 @@
 {
     switch (message.body_case()) {
     case wire::envelope::kPublishedFetch:
-        send_changes(message.from_instance(), message.published_fetch().after(),
-                     max_message_bytes);
+        send_changes(message.from_instance(), message.published_fetch().after(), max_message_bytes);
         return;
     case wire::envelope::kPublishedNotice:
         last_notice_ = monotonic_now();
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -80,8 +80,8 @@
     }
 }
 
-auto store_reader::call(const request_head& head, duration limit,
-                        void (store_reader::*on_answer)()) -> void
+auto store_reader::call(const request_head& head, duration limit, void (store_reader::*on_answer)())
+    -> void
 {
     body_.clear();
     status_ = 0;
@@ -188,8 +188,7 @@
         return;
     }
     set_available(true, "watched");
-    const auto changed =
-        apply_changes(state_, watched_after_, changes->revision, changes->items);
+    const auto changed = apply_changes(state_, watched_after_, changes->revision, changes->items);
     forget_removals(state_, kept_removals);
     if (!changed.empty()) {
         handlers_.on_changed(changed);
--- a/src/log_buffer.cpp
+++ b/src/log_buffer.cpp
@@ -5,8 +5,7 @@
 auto add_line(log_buffer& buffer, log_level level, std::string_view line) -> bool
 {
     const auto important = level >= log_level::warning;
-    const auto limit =
-        buffer.settings.max_bytes + (important ? buffer.settings.reserved_bytes : 0);
+    const auto limit = buffer.settings.max_bytes + (important ? buffer.settings.reserved_bytes : 0);
     if (buffer.bytes.size() + line.size() > limit) {
         ++buffer.dropped;
         return false;
@@ -19,7 +18,8 @@
 {
     buffer.bytes.erase(0, count);
     if (buffer.dropped > 0 && buffer.bytes.size() < buffer.settings.max_bytes / 2) {
-        buffer.bytes += "WARN event=log_lines_dropped count=" + std::to_string(buffer.dropped) + '\n';
+        buffer.bytes +=
+            "WARN event=log_lines_dropped count=" + std::to_string(buffer.dropped) + '\n';
         buffer.dropped = 0;
     }
 }
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -30,8 +30,8 @@
     }
     const auto mean = static_cast<double>(all.size()) /
                       static_cast<double>(std::max<std::size_t>(zones.size(), 1));
-    const auto enough = near.size() >= fewest_addresses &&
-                        static_cast<double>(near.size()) >= thin_zone * mean;
+    const auto enough =
+        near.size() >= fewest_addresses && static_cast<double>(near.size()) >= thin_zone * mean;
     auto& chosen = enough ? near : all;
     auto random = std::mt19937_64{seed};
     std::shuffle(chosen.begin(), chosen.end(), random);
--- a/src/routing/published_state.cpp
+++ b/src/routing/published_state.cpp
@@ -12,8 +12,8 @@
     if (item.revision <= known.revision) {
         return;
     }
-    const auto same = known.revision > 0 && known.removed == item.removed &&
-                      known.value == item.value;
+    const auto same =
+        known.revision > 0 && known.removed == item.removed && known.value == item.value;
     known = item;
     if (!same) {
         changed.insert(item.key);
@@ -57,8 +57,7 @@
     return changed;
 }
 
-auto changes_after(const published_state& state, std::uint64_t after)
-    -> std::vector<published_item>
+auto changes_after(const published_state& state, std::uint64_t after) -> std::vector<published_item>
 {
     auto changes = std::vector<published_item>{};
     for (const auto& [key, item] : state.items) {
@@ -66,9 +65,8 @@
             changes.push_back(item);
         }
     }
-    std::sort(changes.begin(), changes.end(), [](const auto& left, const auto& right) {
-        return left.revision < right.revision;
-    });
+    std::sort(changes.begin(), changes.end(),
+              [](const auto& left, const auto& right) { return left.revision < right.revision; });
     return changes;
 }
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -42,8 +42,8 @@
     }
     for (const auto& entry : candidates) {
         const auto hash = hash64(entry.place->published.id, query.affinity);
-        const auto fit = entry.open && !over_bound(entry.load, mean, weights) &&
-                         now >= entry.place->avoid_until;
+        const auto fit =
+            entry.open && !over_bound(entry.load, mean, weights) && now >= entry.place->avoid_until;
         if (fit && (keeper == nullptr || hash > best)) {
             keeper = entry.place;
             best = hash;
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -54,8 +54,7 @@
     }
 }
 
-auto remove_target(target_table& table, const std::string& id, absence why, time_point now)
-    -> void
+auto remove_target(target_table& table, const std::string& id, absence why, time_point now) -> void
 {
     const auto found = table.targets.find(id);
     if (found != table.targets.end() && found->second.gone != absence::removed) {
@@ -164,8 +163,8 @@
     auto estimate = static_cast<double>(candidate.running);
     if (candidate.load && now - candidate.load->at < table.settings.load_limit) {
         const auto& load = *candidate.load;
-        estimate = std::max(estimate,
-                            static_cast<double>(load.running + load.waiting + load.begun_since));
+        estimate =
+            std::max(estimate, static_cast<double>(load.running + load.waiting + load.begun_since));
     }
     return estimate;
 }
@@ -192,9 +191,8 @@
     if (!cold(table, candidate, now)) {
         return true;
     }
-    const auto recent = std::count_if(
-        candidate.cold_sends.begin(), candidate.cold_sends.end(),
-        [&](time_point sent) { return now - sent <= cold_window; });
+    const auto recent = std::count_if(candidate.cold_sends.begin(), candidate.cold_sends.end(),
+                                      [&](time_point sent) { return now - sent <= cold_window; });
     return static_cast<std::size_t>(recent) < share.per_second;
 }
 
--- a/src/transport/http1.cpp
+++ b/src/transport/http1.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
+    "Connection", "Keep-Alive",     "Proxy-Connection",   "TE", "Trailer", "Transfer-Encoding",
     "Upgrade",    "Content-Length", "Proxy-Authorization"};
 
 auto is_token_character(char character) -> bool
@@ -59,8 +59,7 @@
 
 auto same_name(std::string_view left, std::string_view right) -> bool
 {
-    return left.size() == right.size() &&
-           strncasecmp(left.data(), right.data(), left.size()) == 0;
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
 auto find_field(const header_fields& fields, std::string_view name)
@@ -105,8 +104,8 @@
 {
     auto text = head.method + " " + head.target + " HTTP/1.1\r\n";
     append_fields(text, head.fields);
-    const auto has_body = body_bytes > 0 || head.method == "POST" || head.method == "PUT" ||
-                          head.method == "PATCH";
+    const auto has_body =
+        body_bytes > 0 || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
     if (has_body) {
         text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
     }
@@ -325,8 +324,7 @@
     }
     if (!own.in_message) {
         // a new message may follow one that asked to close; whether it counts is the owner's choice
-        http_parser_init(&own.parser,
-                         own.parsed == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        http_parser_init(&own.parser, own.parsed == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
         own.parser.data = &own;
     }
     own.complete = false;
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -179,8 +179,8 @@
     }
     reusable = reusable && head.keep_alive && !head.until_close;
     if (const auto seconds = keep_alive_seconds(head.fields)) {
-        idle_limit = std::min<duration>(idle_limit,
-                                        std::chrono::seconds{*seconds} - keep_alive_margin);
+        idle_limit =
+            std::min<duration>(idle_limit, std::chrono::seconds{*seconds} - keep_alive_margin);
     }
     if (handlers.on_head) {
         const auto receive = handlers.on_head;
@@ -196,8 +196,8 @@
     busy = false;
     const auto events = std::exchange(handlers, {});
     const auto owner = pool.lock();
-    const auto keep = owner && reusable && tcp && tcp.unsent() == 0 &&
-                      idle_limit > duration::zero();
+    const auto keep =
+        owner && reusable && tcp && tcp.unsent() == 0 && idle_limit > duration::zero();
     if (keep) {
         idle_since = monotonic_now();
         owner->keep(shared_from_this());
@@ -259,8 +259,7 @@
 {
     const auto found = idle.find(connection->address);
     if (found != idle.end()) {
-        std::erase_if(found->second,
-                      [&](const auto& kept) { return kept.get() == connection; });
+        std::erase_if(found->second, [&](const auto& kept) { return kept.get() == connection; });
     }
 }
 
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -123,7 +123,7 @@
             constexpr auto header_too_large = 431;
             constexpr auto bad_request = 400;
             reject(parser->failure() == parse_failure::header_too_large ? header_too_large
-                                                                         : bad_request);
+                                                                        : bad_request);
             return;
         }
         waiting.erase(0, used);
@@ -363,22 +363,22 @@
 {
     // after a failed start of a sibling, this server may still listen on the address
     state_->listener.close();
-    BOOST_LEAF_ASSIGN(
-        state_->listener,
-        tcp_listener::open(*state_->loop, address,
-                           [weak = std::weak_ptr{state_}](tcp_connection accepted,
-                                                          std::string peer) {
-                               const auto owner = weak.lock();
-                               if (!owner) {
-                                   return;
-                               }
-                               auto connection = std::make_shared<detail::server_connection>();
-                               connection->server = owner;
-                               connection->tcp = std::move(accepted);
-                               connection->peer = std::move(peer);
-                               connection->open();
-                               owner->connections.insert(std::move(connection));
-                           }));
+    BOOST_LEAF_ASSIGN(state_->listener,
+                      tcp_listener::open(*state_->loop, address,
+                                         [weak = std::weak_ptr{state_}](tcp_connection accepted,
+                                                                        std::string peer) {
+                                             const auto owner = weak.lock();
+                                             if (!owner) {
+                                                 return;
+                                             }
+                                             auto connection =
+                                                 std::make_shared<detail::server_connection>();
+                                             connection->server = owner;
+                                             connection->tcp = std::move(accepted);
+                                             connection->peer = std::move(peer);
+                                             connection->open();
+                                             owner->connections.insert(std::move(connection));
+                                         }));
     return {};
 }
 
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -86,19 +86,26 @@
     /// Publishes a configuration with a route of each kind to one service each.
     auto publish(int version, const std::vector<std::string>& keys = {"key-1"}) -> void
     {
-        const auto route = [](const char* name, const char* kind, const char* service,
-                              int attempts, bool prompt) {
-            return nlohmann::json{{"name", name},           {"hostname", "shop.example"},
+        const auto route = [](const char* name, const char* kind, const char* service, int attempts,
+                              bool prompt) {
+            return nlohmann::json{{"name", name},
+                                  {"hostname", "shop.example"},
                                   {"prefix", std::string{"/"} + name + "/"},
-                                  {"route_type", kind},     {"timeout_ms", 4000},
-                                  {"slo_ms", 400},          {"priority", 1},
-                                  {"backend", service},     {"max_attempts", attempts},
-                                  {"public", false},        {"session_affinity", prompt},
+                                  {"route_type", kind},
+                                  {"timeout_ms", 4000},
+                                  {"slo_ms", 400},
+                                  {"priority", 1},
+                                  {"backend", service},
+                                  {"max_attempts", attempts},
+                                  {"public", false},
+                                  {"session_affinity", prompt},
                                   {"stream_resume", prompt}};
         };
         const auto service = [](const char* name) {
-            return nlohmann::json{{"name", name},         {"health_path", "/healthz"},
-                                  {"max_connections", 9}, {"cold_start_s", 1.0},
+            return nlohmann::json{{"name", name},
+                                  {"health_path", "/healthz"},
+                                  {"max_connections", 9},
+                                  {"cold_start_s", 1.0},
                                   {"cold_per_s", 0.0}};
         };
         store.put("op/config",
--- a/tests/unit-attempts.cpp
+++ b/tests/unit-attempts.cpp
@@ -58,7 +58,8 @@
     CHECK(after_attempt(known) == next_step::pass_answer);
 }
 
-TEST_CASE("attempts: whatever happens, what may have run is never refused, nor sent again if unsafe")
+TEST_CASE(
+    "attempts: whatever happens, what may have run is never refused, nor sent again if unsafe")
 {
     CHECK(rc::check("safety", [] {
         auto known = attempt_facts{};
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -50,7 +50,8 @@
     CHECK(ask_side(settings[0].ready_address, "/cyclamenpost/readyz").head.status == 200);
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: without a configuration nothing is refused for good")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: without a configuration nothing is refused for good")
 {
     store.set_mode(store_mode::busy);
     add_instance();
@@ -95,7 +96,8 @@
     wait([&] { return version(0) == 2; });
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: an instance that the store turns away learns from another")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: an instance that the store turns away learns from another")
 {
     start(2);
     wait([&] { return addresses(0) == 2; });
@@ -119,12 +121,11 @@
     CHECK(ask("/book/1", 2, "key-2").head.status == 200);
     // others are served, so what vanishes now has not lapsed
     store.remove("servers/app-1");
-    wait([&] {
-        return instances[2]->view().targets.targets.at("app-1").gone == absence::removed;
-    });
+    wait([&] { return instances[2]->view().targets.targets.at("app-1").gone == absence::removed; });
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: a target that vanishes as the store returns may have lapsed")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a target that vanishes as the store returns may have lapsed")
 {
     start(1);
     store.set_mode(store_mode::busy);
@@ -136,7 +137,8 @@
     CHECK(ask("/book/1").head.status == 200);
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: a target that vanishes on a good day is gone at once")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a target that vanishes on a good day is gone at once")
 {
     start(1);
     store.remove("servers/app-1");
@@ -145,7 +147,9 @@
     CHECK(ask("/book/1").head.status == 503);
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: a configuration never goes back, and unreadable ones are passed over")
+TEST_CASE_FIXTURE(
+    small_fleet,
+    "entry_instance: a configuration never goes back, and unreadable ones are passed over")
 {
     start(1);
     publish(7);
@@ -159,7 +163,8 @@
     CHECK_FALSE(instances[0]->view().targets.targets.contains("odd"));
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: a zone that is taken out gets nothing until it is back")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a zone that is taken out gets nothing until it is back")
 {
     start(1);
     store.put("op/evacuate/a", "{}");
@@ -170,7 +175,8 @@
     CHECK(ask("/book/1").head.status == 200);
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: an instance that ends answers what it read and is named no more")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: an instance that ends answers what it read and is named no more")
 {
     start(2);
     wait([&] { return addresses(1) == 2; });
@@ -187,7 +193,8 @@
     wait([&] { return ended == 1; });
 }
 
-TEST_CASE_FIXTURE(small_fleet, "entry_instance: a large zone reads the store through a few, and all follow")
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a large zone reads the store through a few, and all follow")
 {
     start(6);
     wait([&] { return addresses(5) == 6; });
--- a/tests/unit-entry_options.cpp
+++ b/tests/unit-entry_options.cpp
@@ -13,9 +13,8 @@
     auto options = entry_options{};
     try_or(
         [&]() -> result<void> {
-            BOOST_LEAF_ASSIGN(options,
-                              parse_entry_options(static_cast<int>(arguments.size()),
-                                                  arguments.data(), variables, {}));
+            BOOST_LEAF_ASSIGN(options, parse_entry_options(static_cast<int>(arguments.size()),
+                                                           arguments.data(), variables, {}));
             return {};
         },
         [&](const error& failure) {
@@ -30,8 +29,8 @@
 
 TEST_CASE("entry_options: flags go before variables, variables before defaults")
 {
-    const auto variables = environment{{"CYCLAMENPOST_LOG_LEVEL", "warning"},
-                                       {"CYCLAMENPOST_METRICS_PORT", "7000"}};
+    const auto variables =
+        environment{{"CYCLAMENPOST_LOG_LEVEL", "warning"}, {"CYCLAMENPOST_METRICS_PORT", "7000"}};
     const auto options = parse({"--metrics-port", "7001", "--check"}, variables);
     CHECK(options.level == log_level::warning);
     CHECK(options.metrics_port == 7001);
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -71,7 +71,9 @@
     CHECK(app_2.runs().empty());
 }
 
-TEST_CASE_FIXTURE(one_instance, "forwarder: a booking whose answer is lost runs once and is not promised as unrun")
+TEST_CASE_FIXTURE(
+    one_instance,
+    "forwarder: a booking whose answer is lost runs once and is not promised as unrun")
 {
     set_apps(target_mode::answer_lost);
     const auto call = ask("/book/1", 0, "key-1", "b1");
@@ -79,7 +81,8 @@
     CHECK(runs_of("b1") == 1);
 }
 
-TEST_CASE_FIXTURE(one_instance, "forwarder: a booking that a full target did not run goes to another")
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: a booking that a full target did not run goes to another")
 {
     const auto first = ask("/book/1");
     REQUIRE(first.head.status == 200);
@@ -142,7 +145,8 @@
     CHECK(call.body == whole_stream());
 }
 
-TEST_CASE_FIXTURE(one_instance, "forwarder: a stream that breaks off goes on at another target without a seam")
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: a stream that breaks off goes on at another target without a seam")
 {
     const auto first = ask("/quote/1");
     REQUIRE(first.complete);
@@ -174,7 +178,8 @@
     CHECK(silent.running() == 0);
 }
 
-TEST_CASE_FIXTURE(one_instance, "forwarder: a booking at a silent target ends in time with an unknown outcome")
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: a booking at a silent target ends in time with an unknown outcome")
 {
     set_apps(target_mode::mute);
     CHECK(ask("/book/1").head.status == 504);
@@ -190,7 +195,8 @@
     wait([&] { return engine_1.running() + engine_2.running() == 0; });
 }
 
-TEST_CASE_FIXTURE(one_instance, "forwarder: another target at a known address does not run the request")
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: another target at a known address does not run the request")
 {
     publish(2);
     store.remove(app_2.key());
--- a/tests/unit-http1.cpp
+++ b/tests/unit-http1.cpp
@@ -64,9 +64,10 @@
 
 TEST_CASE("http1: messages do not depend on how their bytes are cut")
 {
-    const auto text = std::string{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                  "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
-                                  "GET /b HTTP/1.1\r\nX-One:  two words \r\n\r\n"};
+    const auto text =
+        std::string{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+                    "GET /b HTTP/1.1\r\nX-One:  two words \r\n\r\n"};
     CHECK(rc::check("cuts", [&] {
         auto seen = requests();
         auto rest = std::string_view{text};
@@ -123,8 +124,10 @@
 
 TEST_CASE("http1: headers of one connection are dropped, others kept")
 {
-    auto fields = header_fields{{"Connection", "close, X-Hop"}, {"x-hop", "1"},
-                                {"Transfer-Encoding", "chunked"}, {"X-Kept", "2"},
+    auto fields = header_fields{{"Connection", "close, X-Hop"},
+                                {"x-hop", "1"},
+                                {"Transfer-Encoding", "chunked"},
+                                {"X-Kept", "2"},
                                 {"Content-Length", "4"}};
     drop_connection_fields(fields);
     REQUIRE(fields.size() == 1);
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -20,19 +20,17 @@
     {
         const auto opened = try_or(
             [&]() -> result<void> {
-                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(
-                                                loop, "127.0.0.1:0",
-                                                [this](tcp_connection connection,
-                                                       const std::string&) {
-                                                    accepted.push_back(std::move(connection));
-                                                    accepted.back().set_handlers(
-                                                        {{},
-                                                         [this](std::string_view bytes) {
-                                                             received += bytes;
-                                                         },
-                                                         {},
-                                                         {}});
-                                                }));
+                BOOST_LEAF_ASSIGN(
+                    listener,
+                    tcp_listener::open(
+                        loop, "127.0.0.1:0", [this](tcp_connection connection, const std::string&) {
+                            accepted.push_back(std::move(connection));
+                            accepted.back().set_handlers(
+                                {{},
+                                 [this](std::string_view bytes) { received += bytes; },
+                                 {},
+                                 {}});
+                        }));
                 return {};
             },
             [](const error& failure) { FAIL(describe(failure)); });
@@ -119,7 +117,8 @@
     CHECK_FALSE(call.sent_when_failed);
 }
 
-TEST_CASE_FIXTURE(call_test, "http1_client: a body without a length is whole only after an orderly end")
+TEST_CASE_FIXTURE(call_test,
+                  "http1_client: a body without a length is whole only after an orderly end")
 {
     auto& peer = begin();
     peer.send("HTTP/1.1 200 OK\r\n\r\npart");
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -23,8 +23,8 @@
         const auto opened = try_or(
             [&]() -> result<void> {
                 BOOST_LEAF_CHECK(server.listen("127.0.0.1:0"));
-                BOOST_LEAF_ASSIGN(
-                    caller, connect_tcp(loop, "127.0.0.1:" + std::to_string(server.port())));
+                BOOST_LEAF_ASSIGN(caller,
+                                  connect_tcp(loop, "127.0.0.1:" + std::to_string(server.port())));
                 return {};
             },
             [](const error& failure) { FAIL(describe(failure)); });
@@ -83,7 +83,8 @@
     wait_for("second");
 }
 
-TEST_CASE_FIXTURE(server_test, "http1_server: a begun answer that is aborted does not look complete")
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a begun answer that is aborted does not look complete")
 {
     send_and_wait(simple_request, 1);
     requests[0]->begin(status_head(200));
@@ -167,7 +168,8 @@
     CHECK(requests[0]->body == "ok");
 }
 
-TEST_CASE_FIXTURE(server_test, "http1_server: a server that is started again listens on its own address")
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a server that is started again listens on its own address")
 {
     const auto address = "127.0.0.1:" + std::to_string(server.port());
     CHECK(try_or([&] { return server.listen(address); },
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -69,7 +69,7 @@
 TEST_CASE("platform_adapter: a caller's headers become fields")
 {
     auto head = request_head{};
-    head.fields = {{"Host", "a.example"},   {"X-Attempt-Id", "id"},
+    head.fields = {{"Host", "a.example"},    {"X-Attempt-Id", "id"},
                    {"X-Deadline-Ms", "250"}, {"X-Api-Key", "k"},
                    {"Last-Event-Id", "12"},  {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410"}};
     const auto request = decode_request(head);
@@ -83,9 +83,9 @@
 TEST_CASE("platform_adapter: what only the system may set is taken from no caller")
 {
     auto head = request_head{};
-    head.fields = {{"X-Tenant", "forged"}, {"X-Kv-Hold", "1"},    {"X-Pin-Ms", "1"},
-                   {"X-Kv-Backup", "1"},   {"Kv-From", "1"},      {"Kv-Fetch", "1"},
-                   {"X-Api-Key", "k"},     {"X-Other", "kept"},   {"Last-Event-Id", "3"},
+    head.fields = {{"X-Tenant", "forged"}, {"X-Kv-Hold", "1"},     {"X-Pin-Ms", "1"},
+                   {"X-Kv-Backup", "1"},   {"Kv-From", "1"},       {"Kv-Fetch", "1"},
+                   {"X-Api-Key", "k"},     {"X-Other", "kept"},    {"Last-Event-Id", "3"},
                    {"X-Model", "m"},       {"Connection", "close"}};
     auto marks = target_marks{};
     marks.target_id = "t";
@@ -104,8 +104,11 @@
 TEST_CASE("platform_adapter: a target's head says load, receipt and execution")
 {
     auto head = response_head{};
-    head.fields = {{"X-Server-Load", "3,2,8"}, {"X-Not-Executed", "1"}, {"X-Cold-Ms", "40"},
-                   {"X-Server-Seal", "s"},     {"Content-Type", "text/event-stream; charset=x"}};
+    head.fields = {{"X-Server-Load", "3,2,8"},
+                   {"X-Not-Executed", "1"},
+                   {"X-Cold-Ms", "40"},
+                   {"X-Server-Seal", "s"},
+                   {"Content-Type", "text/event-stream; charset=x"}};
     const auto answer = decode_answer(head);
     CHECK(answer.load->running == 3);
     CHECK(answer.load->waiting == 2);
@@ -137,7 +140,8 @@
     }
 }
 
-TEST_CASE("platform_adapter: listings, changes and configurations of another shape are refused whole")
+TEST_CASE(
+    "platform_adapter: listings, changes and configurations of another shape are refused whole")
 {
     const auto page = decode_listing(
         R"({"items":[{"key":"a","value":"aGk=","rev":3}],"more_pages":true,"current_rev":9})");
--- a/tests/unit-published_state.cpp
+++ b/tests/unit-published_state.cpp
@@ -56,7 +56,8 @@
 TEST_CASE("published_state: a listing removes what is absent and older")
 {
     auto state = published_state{};
-    apply_changes(state, 0, 5, {written("s/a", "1", 2), written("s/b", "2", 3), written("t", "3", 4)});
+    apply_changes(state, 0, 5,
+                  {written("s/a", "1", 2), written("s/b", "2", 3), written("t", "3", 4)});
     apply_changes(state, 5, 9, {written("s/c", "4", 9)});
     const auto changed = apply_listing(state, "s/", 7, {written("s/a", "1", 2)});
     CHECK(changed == changed_keys{"s/b"});
@@ -90,8 +91,7 @@
         apply_changes(direct, 0, count, history);
         auto shuffled = history;
         for (std::size_t index = shuffled.size(); index > 1; --index) {
-            std::swap(shuffled[index - 1],
-                      shuffled[*rc::gen::inRange<std::size_t>(0, index)]);
+            std::swap(shuffled[index - 1], shuffled[*rc::gen::inRange<std::size_t>(0, index)]);
         }
         auto indirect = published_state{};
         for (const auto& change : shuffled) {
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -178,8 +178,8 @@
                 const auto& half = index < fleet / 2 ? left : right;
                 total += share_of_cold(table.settings, 20, target_id, members[index], members)
                              .per_second;
-                halves += share_of_cold(table.settings, 20, target_id, members[index], half)
-                              .per_second;
+                halves +=
+                    share_of_cold(table.settings, 20, target_id, members[index], half).per_second;
             }
             CHECK(total > 0);
             CHECK(total <= bound);
--- a/tests/unit-tcp.cpp
+++ b/tests/unit-tcp.cpp
@@ -22,16 +22,15 @@
     {
         const auto opened = try_or(
             [&]() -> result<void> {
-                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, "127.0.0.1:0",
-                                                               [this](tcp_connection accepted,
-                                                                      const std::string&) {
-                                                                   server = std::move(accepted);
-                                                                   server.set_handlers(
-                                                                       handlers(at_server,
-                                                                                server_closed));
-                                                               }));
-                BOOST_LEAF_ASSIGN(client, connect_tcp(loop, "127.0.0.1:" +
-                                                                std::to_string(listener.port())));
+                BOOST_LEAF_ASSIGN(
+                    listener,
+                    tcp_listener::open(loop, "127.0.0.1:0",
+                                       [this](tcp_connection accepted, const std::string&) {
+                                           server = std::move(accepted);
+                                           server.set_handlers(handlers(at_server, server_closed));
+                                       }));
+                BOOST_LEAF_ASSIGN(
+                    client, connect_tcp(loop, "127.0.0.1:" + std::to_string(listener.port())));
                 return {};
             },
             [](const error& failure) { FAIL(describe(failure)); });
@@ -63,7 +62,9 @@
 {
     auto ends = pair_of_connections{};
     ends.server.set_reading(false);
-    const auto body = std::string(16'000'000, 'x');
+    constexpr auto body_bytes = std::size_t{16} << 20U;
+    auto body = std::string{};
+    body.resize(body_bytes, 'x');
     ends.client.send(body);
     CHECK(ends.client.unsent() > 0);
     ends.server.set_reading(true);
