--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build test demo bench scenarios report format lint clean
+.PHONY: packages build test demo bench scenarios soak report format lint clean
 
 packages:
 	@scripts/install-packages
@@ -23,6 +23,11 @@
 scenarios: build
 	@scripts/scenarios $(BUILD)/bin long
 
+SEED ?= 1
+COUNT ?= 4
+soak: build
+	@scripts/soak $(BUILD)/bin $(SEED) $(COUNT)
+
 report: build
 	@scripts/report $(BUILD)/bin
 
