--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -24,7 +24,6 @@
     std::string store_address;
     std::string metrics_address;
     unsigned max_connections = 1024;
-    std::size_t memory_bytes = std::size_t{256} << 20U;
 
     /// Members are known about this long after a start; before, cold targets get nothing and
     /// nothing is retried on the fleet's account. Joining takes one or two probes.
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -82,6 +82,9 @@
     peer_handlers handlers_;
     cluster_node cluster_;
     auto zone_members() const -> std::vector<std::string>;
+    /// Instances of the zone that leave the store to its readers.
+    auto zone_followers(const std::vector<std::string>& readers) const -> std::vector<std::string>;
+    auto is_reader(const std::vector<std::string>& readers) const -> bool;
     auto notify_zone() -> void;
 
     timer fetch_timer_;
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -29,7 +29,6 @@
 /// What the reader tells the instance.
 struct store_handlers {
     std::function<void(const changed_keys&)> on_changed;
-    std::function<void(bool available)> on_available;
 };
 
 /// Keeps a copy of the platform's store: a listing by pages, then a watch from its revision.
@@ -94,7 +93,6 @@
     std::optional<time_point> last_away_;
     bool others_served_ = false;
     duration extra_limit_{};
-    std::uint64_t calls_ = 0;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -104,9 +104,6 @@
     auto send(const outgoing_request& request, exchange_handlers handlers)
         -> result<client_exchange>;
 
-    /// Closes the idle connections to an address.
-    auto forget(const std::string& address) -> void;
-
     auto counters() const -> const client_counters&;
 
 private:
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -65,11 +65,9 @@
               [this](const strike& seen) { add_strike(view_.suspects, seen, monotonic_now()); },
               [this] { return store_.available(); },
               [this] { return store_.may_have_lapsed(lapse_window, monotonic_now()); }}),
-      store_(loop, port_, {settings_.store_address}, state_,
-             {[this](const changed_keys& keys) {
-                  on_changed(keys, store_.may_have_lapsed(lapse_window, monotonic_now()));
-              },
-              [](bool) {}}),
+      store_(loop, port_, {settings_.store_address}, state_, {[this](const changed_keys& keys) {
+                 on_changed(keys, store_.may_have_lapsed(lapse_window, monotonic_now()));
+             }}),
       forwarder_(loop, port_, view_, {}, metrics_),
       front_(loop, {},
              [this](std::shared_ptr<server_exchange> exchange) {
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -77,14 +77,9 @@
 
 auto forward_job::try_next() -> void
 {
-    auto query = choice_query{};
-    query.service = service->name;
+    auto query = query_targets();
     query.affinity = affinity;
     query.shared_tokens = shared_tokens;
-    query.tried = &tried;
-    query.cold_per_second = service->cold_per_second;
-    query.own_id = parts.view.own_id;
-    query.members = &parts.view.members;
     const auto choice = choose_target(parts.view.targets, query, parts.weights, monotonic_now());
     if (choice.chosen == nullptr) {
         wait_for_target(choice.why);
@@ -162,11 +157,8 @@
         end_attempt(attempt_end::not_sent, target_outcome::unreachable, "no_connection");
         return;
     }
-    attempt_timer =
-        later(attempt.connected()
-                  ? std::max<duration>(rule->objective * silent_objectives, shortest_silence)
-                  : parts.settings.connect_limit,
-              &forward_job::on_attempt_late);
+    attempt_timer = later(attempt.connected() ? silence_limit() : parts.settings.connect_limit,
+                          &forward_job::on_attempt_late);
 }
 
 /// Address of another target that probably keeps the prompt, when the chosen one probably does not:
@@ -195,7 +187,7 @@
         end_attempt(attempt_end::not_sent, target_outcome::unreachable, "connect_timeout");
         return;
     }
-    const auto silence = std::max<duration>(rule->objective * silent_objectives, shortest_silence);
+    const auto silence = silence_limit();
     const auto waited = monotonic_now() - attempt_begun;
     if (waited < silence) {
         attempt_timer = later(silence - waited, &forward_job::on_attempt_late);
@@ -348,7 +340,8 @@
     }
 }
 
-auto forward_job::target_left() -> bool
+/// What is asked of any target for this request, wherever its prompt is kept.
+auto forward_job::query_targets() const -> choice_query
 {
     auto query = choice_query{};
     query.service = service->name;
@@ -356,8 +349,19 @@
     query.cold_per_second = service->cold_per_second;
     query.own_id = parts.view.own_id;
     query.members = &parts.view.members;
-    return choose_target(parts.view.targets, query, parts.weights, monotonic_now()).chosen !=
-           nullptr;
+    return query;
+}
+
+/// Time after which a target that has said nothing counts as silent.
+auto forward_job::silence_limit() const -> duration
+{
+    return std::max<duration>(rule->objective * silent_objectives, shortest_silence);
+}
+
+auto forward_job::target_left() -> bool
+{
+    return choose_target(parts.view.targets, query_targets(), parts.weights, monotonic_now())
+               .chosen != nullptr;
 }
 
 auto forward_job::spend_retry_for_service() -> bool
@@ -376,7 +380,8 @@
     facts.max_runs = rule->max_attempts;
     facts.sends = sends;
     facts.time_left = time_left() > duration::zero();
-    facts.target_left = target_left();
+    // an answer is passed on whatever other targets there are; looking walks all of them
+    facts.target_left = end != attempt_end::answered && target_left();
     auto next = after_attempt(facts);
     if (next == next_step::retry && end != attempt_end::not_sent && !spend_retry_for_service()) {
         next = without_retry(facts);
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -97,6 +97,8 @@
     auto count_end(std::string_view outcome_name, std::string_view cause) -> void;
     auto log_end(int status, std::string_view outcome_name, std::string_view cause) -> void;
     auto finish(int status, std::string_view outcome_name, std::string_view cause) -> void;
+    auto query_targets() const -> choice_query;
+    auto silence_limit() const -> duration;
     auto target_left() -> bool;
     auto spend_retry_for_service() -> bool;
     auto time_left() const -> duration;
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -12,9 +12,9 @@
 constexpr auto not_found = 404;
 constexpr auto service_unavailable = 503;
 
-// wait told to callers while no configuration has been read; starting takes about this long
 // wait told to callers of an instance that ends; another one serves them at once
 constexpr duration closing_wait = std::chrono::milliseconds{20};
+// wait told to callers while no configuration has been read; starting takes about this long
 constexpr duration starting_wait = std::chrono::milliseconds{500};
 
 auto refuse_at_once(const platform_port& port, server_exchange& exchange, int status,
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -139,10 +139,8 @@
         return;
     }
     if (before > 0) {
-        for (const auto& id : zone_members()) {
-            if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
-                send_changes(id, before, pushed_bytes);
-            }
+        for (const auto& id : zone_followers(readers)) {
+            send_changes(id, before, pushed_bytes);
         }
     }
     notify_zone();
@@ -160,30 +158,40 @@
     return ids;
 }
 
+auto peers::zone_followers(const std::vector<std::string>& readers) const
+    -> std::vector<std::string>
+{
+    auto followers = zone_members();
+    std::erase_if(followers, [&](const std::string& id) {
+        return std::find(readers.begin(), readers.end(), id) != readers.end();
+    });
+    return followers;
+}
+
+auto peers::is_reader(const std::vector<std::string>& readers) const -> bool
+{
+    return std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
+}
+
 auto peers::reads_store() const -> bool
 {
     const auto now = monotonic_now();
     if (now - started_ < joining_time || now - last_notice_ > notice_limit) {
         return true;
     }
-    const auto readers = store_readers(zone_members());
-    return std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
+    return is_reader(store_readers(zone_members()));
 }
 
 auto peers::notify_zone() -> void
 {
     const auto readers = store_readers(zone_members());
-    const auto reads =
-        std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
-    if (!reads || !handlers_.store_available()) {
+    if (!is_reader(readers) || !handlers_.store_available()) {
         return;
     }
     auto message = wire::envelope{};
     message.mutable_published_notice()->set_revision(state_.revision);
-    for (const auto& id : zone_members()) {
-        if (std::find(readers.begin(), readers.end(), id) == readers.end()) {
-            cluster_.send(id, message);
-        }
+    for (const auto& id : zone_followers(readers)) {
+        cluster_.send(id, message);
     }
 }
 
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -85,7 +85,6 @@
 {
     body_.clear();
     status_ = 0;
-    ++calls_;
     auto request = outgoing_request{};
     request.address = settings_.address;
     request.head = head;
@@ -240,7 +239,6 @@
               {{"peer", settings_.address},
                {"cause", std::string{cause}},
                {"revision", std::to_string(state_.revision)}});
-    handlers_.on_available(now_available);
 }
 
 } // namespace cyclamenpost
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -378,11 +378,6 @@
     return exchange;
 }
 
-auto http1_client::forget(const std::string& address) -> void
-{
-    pool_->idle.erase(address);
-}
-
 auto http1_client::counters() const -> const client_counters&
 {
     return pool_->counters;
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -177,6 +177,12 @@
             request.head.fields.push_back({"X-Prompt-Prefix", "a1:500,b2:4000,c3:100"});
         }
         request.body = reads ? "" : "order";
+        begin(call, request);
+    }
+
+    /// Sends a request whose answer the call collects.
+    auto begin(caller_call& call, const outgoing_request& request) -> void
+    {
         auto handlers = exchange_handlers{};
         handlers.on_head = [&call](response_head& head) { call.head = head; };
         handlers.on_body = [&call](std::string_view bytes) { call.body += bytes; };
@@ -207,15 +213,7 @@
         request.fresh_connection = true;
         request.head.method = "GET";
         request.head.target = target;
-        auto handlers = exchange_handlers{};
-        handlers.on_head = [&call](response_head& head) { call.head = head; };
-        handlers.on_body = [&call](std::string_view bytes) { call.body += bytes; };
-        handlers.on_complete = [&call] { call.complete = true; };
-        handlers.on_failed = [&call](exchange_failure how) { call.failed = how; };
-        check([&]() -> result<void> {
-            BOOST_LEAF_ASSIGN(call.exchange, client.send(request, std::move(handlers)));
-            return {};
-        });
+        begin(call, request);
         wait([&] { return call.ended(); });
         return call;
     }
