Ask a peer that is known to have the changes

Ruled out: an instance that waits for its own outage to show (it was a follower); slow messages (every answer came within a millisecond, empty). Change: an instance remembers how far others have read and asks the zone's reader only if that has the revision, else the instance in which it was seen; a follower gives its readers 0.4 s first. The decision is source_of_changes, apart from input and output. Tests: unit-store_readers states the decision (new function; the old choice, a reader by hash, fails its last case). The case of unit-entry_instance over two zones passes with and without the change when a zone's representative happens to be a reader, so it guards the path, not this fault.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -72,7 +72,7 @@
     auto on_message(const wire::envelope& message) -> void;
     auto send_changes(const std::string& to, std::uint64_t after, std::size_t largest) -> void;
     auto add_change(wire::published_part& part, const published_item& item) -> std::size_t;
-    auto source_of(const config_sighting& seen) const -> std::string;
+    auto source_of(std::uint64_t revision, const std::string& seen_in) const -> std::string;
     auto take_changes(const wire::published_part& part) -> void;
     auto fetch(const std::string& from) -> void;
 
@@ -92,6 +92,8 @@
     time_point last_notice_{};
     time_point started_{};
     time_point last_fetch_{};
+    /// How far others have read the store, as last heard of them.
+    std::map<std::string, std::uint64_t> revisions_;
     /// An answer to the last fetch is still to come.
     bool fetching_ = false;
     /// Large values as they are sent, by key.
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenpost {
@@ -13,4 +16,17 @@
 /// also passes changes on.
 auto store_readers(std::vector<std::string> zone_members) -> std::vector<std::string>;
 
+/// Reader that an instance asks for large changes: another one for each instance, so that no link
+/// carries them for all. Empty when the instance is the zone's only reader.
+auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
+    -> std::string;
+
+/// Instance to ask for the changes up to a revision. The preferred reader comes first, then another
+/// reader of the zone; each only if it is known to have read so far, since all of a zone's readers
+/// may have lost the store at once. Otherwise the instance in which the revision was seen.
+auto source_of_changes(const std::vector<std::string>& readers,
+                       const std::map<std::string, std::uint64_t>& revisions,
+                       std::string_view own_id, std::uint64_t revision,
+                       const std::string& seen_in) -> std::string;
+
 } // namespace cyclamenpost
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t part_bytes = 60000;
 // holds the largest item of the store and its envelope
 constexpr std::size_t max_message_bytes = std::size_t{3} << 20U;
-// the own watch usually brings a change before a peer can; it is given this much time
+// the own watch, or the zone's readers, usually bring a change before another peer can; they are
+// given this much time
 constexpr duration own_watch_time = std::chrono::milliseconds{400};
 constexpr duration fetch_pause = std::chrono::milliseconds{300};
 // a fetch whose last part has not come after this time is asked again; slow links take long
@@ -232,34 +233,31 @@
 
 auto peers::on_sighting(const config_sighting& seen) -> void
 {
+    revisions_[seen.from] = seen.version;
     const auto pause = fetching_ ? fetch_limit : fetch_pause;
     if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < pause) {
         return;
     }
-    if (!handlers_.store_available()) {
-        fetch(source_of(seen));
+    const auto readers = store_readers(zone_members());
+    const auto source = source_of(seen.version, seen.from);
+    const auto expected = source == preferred_reader(readers, settings_.peer_address);
+    if (!handlers_.store_available() && (reads_store() || expected)) {
+        fetch(source);
         return;
     }
     if (!fetch_timer_.pending()) {
         fetch_timer_ = loop_.call_after(own_watch_time, [this, seen] {
             if (state_.revision < seen.version) {
-                fetch(source_of(seen));
+                fetch(source_of(seen.version, seen.from));
             }
         });
     }
 }
 
-/// Instance that is asked for changes: one of the zone's readers, another one for each instance so
-/// that no link carries a large configuration for all, or whoever was seen to have them.
-auto peers::source_of(const config_sighting& seen) const -> std::string
+auto peers::source_of(std::uint64_t revision, const std::string& seen_in) const -> std::string
 {
-    auto readers = store_readers(zone_members());
-    std::erase(readers, settings_.peer_address);
-    const auto heard = monotonic_now() - last_notice_ < notice_limit;
-    if (readers.empty() || !heard) {
-        return seen.from;
-    }
-    return readers[hash64(settings_.peer_address) % readers.size()];
+    return source_of_changes(store_readers(zone_members()), revisions_, settings_.peer_address,
+                             revision, seen_in);
 }
 
 auto peers::fetch(const std::string& from) -> void
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -16,4 +16,29 @@
     return zone_members;
 }
 
+auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
+    -> std::string
+{
+    auto others = readers;
+    std::erase(others, own_id);
+    return others.empty() ? std::string{} : others[hash64(own_id) % others.size()];
+}
+
+auto source_of_changes(const std::vector<std::string>& readers,
+                       const std::map<std::string, std::uint64_t>& revisions,
+                       std::string_view own_id, std::uint64_t revision, const std::string& seen_in)
+    -> std::string
+{
+    const auto has_read = [&](const std::string& id) {
+        const auto known = revisions.find(id);
+        return id != own_id && known != revisions.end() && known->second >= revision;
+    };
+    const auto preferred = preferred_reader(readers, own_id);
+    if (has_read(preferred)) {
+        return preferred;
+    }
+    const auto other = std::find_if(readers.begin(), readers.end(), has_read);
+    return other == readers.end() ? seen_in : *other;
+}
+
 } // namespace cyclamenpost
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -85,6 +85,13 @@
 
     /// Publishes a configuration with a route of each kind to one service each.
     auto publish(int version, const std::vector<std::string>& keys = {"key-1"}) -> void
+    {
+        publish_to(store, version, keys);
+    }
+
+    /// Publishes a configuration in another store, which some instances read instead.
+    static auto publish_to(fakes::store_stand_in& where, int version,
+                           const std::vector<std::string>& keys = {"key-1"}) -> void
     {
         const auto route = [](const char* name, const char* kind, const char* service, int attempts,
                               bool prompt) {
@@ -108,7 +115,7 @@
                                   {"cold_start_s", 1.0},
                                   {"cold_per_s", 0.0}};
         };
-        store.put("op/config",
+        where.put("op/config",
                   nlohmann::json{{"version", version},
                                  {"routes",
                                   {route("book", "non_idempotent", "app", 1, false),
@@ -124,8 +131,9 @@
                       .dump());
     }
 
-    /// Starts an instance whose seed is the first one.
-    auto add_instance(const std::string& zone = "a") -> entry_instance&
+    /// Starts an instance whose seed is the first one, before the usual store or another.
+    auto add_instance(const std::string& zone = "a", const std::string& store_address = {})
+        -> entry_instance&
     {
         auto& own = settings.emplace_back();
         own.name = "entry-" + std::to_string(settings.size());
@@ -134,7 +142,7 @@
         own.ready_address = free_address(loop);
         own.directory_address = free_address(loop);
         own.peer_address = free_address(loop);
-        own.store_address = store.address();
+        own.store_address = store_address.empty() ? store.address() : store_address;
         own.seeds = {settings.front().peer_address};
         own.settling = std::chrono::milliseconds{1};
         own.retry_share = 0.2;
--- a/tests/unit-directory.cpp
+++ b/tests/unit-directory.cpp
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 
 #include "cyclamenpost/routing/directory.hpp"
-#include "cyclamenpost/routing/store_readers.hpp"
 
 using namespace cyclamenpost;
 
@@ -52,17 +51,3 @@
     CHECK(first.size() == max_directory_addresses);
     CHECK(first != second);
 }
-
-TEST_CASE("directory: every instance of a zone names the same readers of the store")
-{
-    const auto forward = store_readers({"a", "b", "c", "d", "e"});
-    CHECK(forward == store_readers({"e", "d", "c", "b", "a"}));
-    CHECK(forward.size() == readers_per_zone);
-    CHECK(store_readers({"a"}).size() == 1);
-    // one that leaves is followed by the next, the others stay
-    auto rest = std::vector<std::string>{"a", "b", "c", "d", "e"};
-    std::erase(rest, forward.front());
-    const auto next = store_readers(rest);
-    CHECK(next[0] == forward[1]);
-    CHECK(next[1] == forward[2]);
-}
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -104,15 +104,7 @@
     auto alone = fakes::store_stand_in{loop};
     check([&] { return alone.listen("127.0.0.1:0"); });
     alone.set_mode(store_mode::busy);
-    settings.back().store_address = alone.address();
-    auto& cut_off = settings.emplace_back(settings.back());
-    cut_off.front_address = free_address(loop);
-    cut_off.ready_address = free_address(loop);
-    cut_off.directory_address = free_address(loop);
-    cut_off.peer_address = free_address(loop);
-    instances.push_back(std::make_unique<entry_instance>(loop, platform::make_port(), cut_off,
-                                                         [this](int) { ++ended; }));
-    instances.back()->start();
+    add_instance("a", alone.address());
     wait_ready();
     CHECK(version(2) == 1);
     publish(5, {"key-2"});
@@ -209,3 +201,27 @@
     }
     CHECK(reading() == 3);
 }
+
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a zone whose readers hear nothing learns from another zone")
+{
+    auto lagging = fakes::store_stand_in{loop};
+    check([&] { return lagging.listen("127.0.0.1:0"); });
+    publish_to(lagging, 1);
+    add_instance("b");
+    for (auto index = 0; index < 5; ++index) {
+        add_instance("a", lagging.address());
+    }
+    wait_ready();
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+        wait([&] { return addresses(index) == 5; });
+    }
+    wait([&] {
+        return std::count_if(instances.begin(), instances.end(),
+                             [](const auto& instance) { return instance->reads_store(); }) == 4;
+    });
+    publish(3);
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+        wait([&] { return version(index) == 3; });
+    }
+}
--- /dev/null
+++ b/tests/unit-store_readers.cpp
@@ -0,0 +1,57 @@
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "cyclamenpost/routing/store_readers.hpp"
+
+using namespace cyclamenpost;
+
+namespace {
+
+const auto readers = std::vector<std::string>{"r1", "r2", "r3"};
+
+} // namespace
+
+TEST_CASE("store_readers: every instance of a zone names the same readers of the store")
+{
+    const auto forward = store_readers({"a", "b", "c", "d", "e"});
+    CHECK(forward == store_readers({"e", "d", "c", "b", "a"}));
+    CHECK(forward.size() == readers_per_zone);
+    CHECK(store_readers({"a"}).size() == 1);
+    // one that leaves is followed by the next, the others stay
+    auto rest = std::vector<std::string>{"a", "b", "c", "d", "e"};
+    std::erase(rest, forward.front());
+    const auto next = store_readers(rest);
+    CHECK(next[0] == forward[1]);
+    CHECK(next[1] == forward[2]);
+}
+
+TEST_CASE("store_readers: instances ask different readers and never themselves")
+{
+    auto asked = std::set<std::string>{};
+    for (const auto* id : {"f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"}) {
+        asked.insert(preferred_reader(readers, id));
+    }
+    CHECK(asked.size() == readers.size());
+    CHECK(preferred_reader(readers, "r1") != "r1");
+    CHECK(preferred_reader({"r1"}, "r1").empty());
+}
+
+TEST_CASE("store_readers: changes are asked of an instance that is known to have them")
+{
+    const auto preferred = preferred_reader(readers, "f1");
+    auto revisions = std::map<std::string, std::uint64_t>{{"r1", 7}, {"r2", 7}, {"r3", 7}};
+    CHECK(source_of_changes(readers, revisions, "f1", 7, "other-zone") == preferred);
+
+    revisions[preferred] = 6;
+    const auto next = source_of_changes(readers, revisions, "f1", 7, "other-zone");
+    CHECK(next != preferred);
+    CHECK(next != "other-zone");
+
+    // all readers of the zone lost the store at once
+    CHECK(source_of_changes(readers, revisions, "f1", 8, "other-zone") == "other-zone");
+    CHECK(source_of_changes(readers, {}, "f1", 8, "other-zone") == "other-zone");
+
+    // a reader is never its own source
+    CHECK(source_of_changes({"r1"}, {{"r1", 9}}, "r1", 9, "other-zone") == "other-zone");
+}
