Share targets' load reports between instances

Change: each instance tells its zone's collector, the first store reader, what it read in answers; collectors swap with those of other zones and tell their zone, every 200 ms. The mean counts all published targets, also those that take nothing new. load_sharing decides, load_sharer and peers carry.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -6,6 +6,7 @@
 #include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/entry/fleet_view.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
+#include "cyclamenpost/entry/load_sharer.hpp"
 #include "cyclamenpost/entry/peers.hpp"
 #include "cyclamenpost/entry/platform_port.hpp"
 #include "cyclamenpost/entry/store_reader.hpp"
@@ -15,9 +16,9 @@
 
 namespace cyclamenpost {
 
-/// One entry instance on a platform. Its children start in the order peers, store, request path,
-/// directory and readiness, and stop in reverse order. Each child owns its connections; the view of
-/// the fleet is this instance's.
+/// One entry instance on a platform. Its children start in the order peers, load reports, store,
+/// request path, directory and readiness, and stop in reverse order. Each child owns its
+/// connections; the view of the fleet is this instance's.
 class entry_instance {
 public:
     /// `on_end` is called with the exit status when the instance has stopped.
@@ -72,6 +73,7 @@
     published_state state_;
     supervisor supervisor_;
     peers peers_;
+    load_sharer loads_;
     store_reader store_;
     forwarder forwarder_;
     http1_server front_;
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -9,6 +9,7 @@
 #include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/retries.hpp"
 #include "cyclamenpost/routing/directory.hpp"
+#include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
 
 namespace cyclamenpost {
@@ -19,6 +20,7 @@
     std::function<void(const changed_keys&, bool lapsing)> on_changed;
     std::function<void()> on_members;
     std::function<void(const strike&)> on_strike;
+    std::function<void(const std::vector<shared_load>&, report_origin)> on_loads;
     /// Whether the own reading of the store works.
     std::function<bool()> store_available;
     /// Whether entries that vanish now may have lapsed, as far as this instance reads the store.
@@ -61,6 +63,13 @@
     /// Tells the others that a target died under a request.
     auto spread(const strike& seen) -> void;
 
+    /// Sends load reports to each of the given instances.
+    auto send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
+        -> void;
+
+    /// Instances that exchange load reports with this one.
+    auto load_recipients() const -> cyclamenpost::load_recipients;
+
     /// Instances that callers may use, this one included.
     auto usable() const -> std::vector<directory_entry>;
 
@@ -74,6 +83,9 @@
     auto add_change(wire::published_part& part, const published_item& item) -> std::size_t;
     auto source_of(std::uint64_t revision, const std::string& seen_in) const -> std::string;
     auto take_changes(const wire::published_part& part) -> void;
+    auto take_loads(const wire::envelope& message) -> void;
+    /// Ids of the live instances that have been heard, by zone.
+    auto members_by_zone() const -> std::map<std::string, std::vector<std::string>>;
     auto fetch(const std::string& from) -> void;
 
     event_loop& loop_;
--- a/include/cyclamenpost/entry/platform_port.hpp
+++ b/include/cyclamenpost/entry/platform_port.hpp
@@ -43,6 +43,14 @@
     std::string fetch_from;
 };
 
+/// Load of a target as one of its answers states it.
+struct answered_load {
+    /// Requests in work, this one included.
+    std::uint32_t running = 0;
+    /// Requests that wait for a slot.
+    std::uint32_t waiting = 0;
+};
+
 /// What a target says in the head of an answer.
 struct target_answer {
     std::string request_id;
@@ -52,7 +60,7 @@
     /// The target says that it did not run the request.
     bool not_executed = false;
     bool event_stream = false;
-    std::optional<reported_load> load;
+    std::optional<answered_load> load;
     std::optional<duration> cold_for;
 };
 
--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership.hpp
@@ -49,9 +49,6 @@
 /// that have seen the same updates agree in whatever order the updates arrived.
 auto supersedes(const member_record& left, const member_record& right) -> bool;
 
-/// Key of a model or zone name in messages: the low 32 bits of its hash.
-auto name_key(std::string_view name) -> std::uint32_t;
-
 /// Load of one model: the engines that serve it and the cost outstanding on them.
 struct model_load {
     std::uint32_t model = 0;
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -31,13 +31,20 @@
 /// Why a target left the list.
 enum class absence { none, removed, lapsed };
 
-/// Load that a target reported of itself.
+/// From where this instance has a load report; decides to whom it passes it on.
+enum class report_origin { own_answer, zone_peer, other_zone };
+
+/// Load that a target reported of itself, to this instance or to another one.
 struct reported_load {
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
+    /// Requests that ran or waited.
+    std::uint32_t requests = 0;
+    /// When the target said so.
     time_point at{};
     /// Requests that this instance has begun since.
     std::uint32_t begun_since = 0;
+    report_origin origin = report_origin::own_answer;
+    /// When this instance learnt it.
+    time_point learnt{};
 };
 
 /// One target with what this instance has seen of it.
@@ -50,6 +57,7 @@
     std::deque<time_point> cold_sends;
     /// Requests of this instance that are at the target.
     std::uint32_t running = 0;
+    time_point last_begun{};
     std::optional<reported_load> load;
     /// Failures since the last good answer, and until when the target is avoided for them.
     std::uint32_t failures = 0;
@@ -78,6 +86,8 @@
     target_settings settings;
     std::unordered_map<std::string, target> targets;
     std::unordered_map<std::string, std::vector<std::string>> by_service;
+    /// Ids by their keys in messages between instances (name_key).
+    std::unordered_map<std::uint32_t, std::string> by_key;
     std::set<std::string> zones_out;
     /// Targets of a zone that came back may be cold until then.
     std::map<std::string, time_point> zone_cold_until;
@@ -112,7 +122,7 @@
 auto end_request(target_table& table, target& used, target_outcome how, duration cold_time,
                  time_point now) -> void;
 
-/// Records a target's report of its own load.
+/// Records a target's report of its own load, in an answer to this instance.
 auto note_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now)
     -> void;
 
--- a/include/cyclamenpost/types.hpp
+++ b/include/cyclamenpost/types.hpp
@@ -84,6 +84,9 @@
 /// Hashes bytes to 64 bits with XXH3, equal on every instance.
 auto hash64(std::string_view bytes, std::uint64_t seed = 0) -> std::uint64_t;
 
+/// Key of a model's, zone's or target's name in messages: the low 32 bits of its hash.
+auto name_key(std::string_view name) -> std::uint32_t;
+
 /// Formats a number as 16 lower-case hexadecimal digits.
 auto to_hex(std::uint64_t value) -> std::string;
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -63,8 +63,12 @@
               },
               [this] { refresh_members(); },
               [this](const strike& seen) { add_strike(view_.suspects, seen, monotonic_now()); },
+              [this](const std::vector<shared_load>& loads, report_origin origin) {
+                  take_shared_loads(view_.targets, loads, origin, monotonic_now());
+              },
               [this] { return store_.available(); },
               [this] { return store_.may_have_lapsed(lapse_window, monotonic_now()); }}),
+      loads_(loop, peers_, view_.targets),
       store_(loop, port_, {settings_.store_address}, state_, {[this](const changed_keys& keys) {
                  on_changed(keys, store_.may_have_lapsed(lapse_window, monotonic_now()));
              }}),
@@ -106,6 +110,13 @@
     root.stop = [] {};
     root.children.push_back(
         {"peers", [this] { return peers_.start(); }, [this] { peers_.stop(); }, {}});
+    root.children.push_back({"loads",
+                             [this] {
+                                 loads_.start();
+                                 return result<void>{};
+                             },
+                             [this] { loads_.stop(); },
+                             {}});
     root.children.push_back(
         {"store", [this] { return start_store(); }, [this] { store_.stop(); }, {}});
     root.children.push_back(
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -147,16 +147,21 @@
     notify_zone();
 }
 
-auto peers::zone_members() const -> std::vector<std::string>
+auto peers::members_by_zone() const -> std::map<std::string, std::vector<std::string>>
 {
-    auto ids = std::vector<std::string>{};
+    auto zones = std::map<std::string, std::vector<std::string>>{};
     for (const auto& member : live_members(cluster_.members())) {
         const auto heard = member.identity.start_ms != 0;
-        if (heard && member.zone == settings_.zone) {
-            ids.push_back(member.identity.id);
+        if (heard) {
+            zones[member.zone].push_back(member.identity.id);
         }
     }
-    return ids;
+    return zones;
+}
+
+auto peers::zone_members() const -> std::vector<std::string>
+{
+    return members_by_zone()[settings_.zone];
 }
 
 auto peers::zone_followers(const std::vector<std::string>& readers) const
@@ -209,6 +214,30 @@
     }
 }
 
+auto peers::send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
+    -> void
+{
+    if (to.empty() || loads.empty()) {
+        return;
+    }
+    auto message = wire::envelope{};
+    auto& reports = *message.mutable_load_reports();
+    for (const auto& load : loads) {
+        reports.add_target(load.target);
+        reports.add_requests(load.requests);
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(load.age);
+        reports.add_age_ms(static_cast<std::uint32_t>(age.count()));
+    }
+    for (const auto& id : to) {
+        cluster_.send(id, message);
+    }
+}
+
+auto peers::load_recipients() const -> cyclamenpost::load_recipients
+{
+    return load_recipients_of(members_by_zone(), settings_.peer_address, settings_.zone);
+}
+
 auto peers::usable() const -> std::vector<directory_entry>
 {
     auto entries = std::vector<directory_entry>{};
@@ -288,6 +317,9 @@
         handlers_.on_strike({message.strike().fingerprint(), message.strike().target(),
                              message.strike().target_incarnation()});
         return;
+    case wire::envelope::kLoadReports:
+        take_loads(message);
+        return;
     default:
         log_event(log_level::warning, "message_unknown", {{"peer", message.from_instance()}});
     }
@@ -375,4 +407,22 @@
     handlers_.on_changed(changed, part.lapsing());
 }
 
+auto peers::take_loads(const wire::envelope& message) -> void
+{
+    const auto& reports = message.load_reports();
+    const auto count = reports.target_size();
+    if (reports.requests_size() != count || reports.age_ms_size() != count) {
+        log_event(log_level::warning, "loads_unreadable", {{"peer", message.from_instance()}});
+        return;
+    }
+    auto loads = std::vector<shared_load>{};
+    for (auto index = 0; index < count; ++index) {
+        loads.push_back({reports.target(index), reports.requests(index),
+                         std::chrono::milliseconds{reports.age_ms(index)}});
+    }
+    const auto sender = find_member(cluster_.members(), message.from_instance());
+    const auto near = sender && sender->zone == settings_.zone;
+    handlers_.on_loads(loads, near ? report_origin::zone_peer : report_origin::other_zone);
+}
+
 } // namespace cyclamenpost
--- a/src/membership_table.cpp
+++ b/src/membership_table.cpp
@@ -322,11 +322,6 @@
     return rank(left) > rank(right);
 }
 
-auto name_key(std::string_view name) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(hash64(name));
-}
-
 auto find_member(const membership_state& state, std::string_view id) -> std::optional<member_record>
 {
     const auto* record = detail::record_of(state, std::string{id});
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -22,13 +22,21 @@
     return load + 1 > weights.bound_multiple * mean + weights.bound_slack;
 }
 
-auto mean_load(const std::vector<candidate>& candidates) -> double
+/// Mean over all published targets of a service. Those that take no new requests, because they
+/// leave or their zone is out, count too: the users bound the load by the mean of the service.
+auto mean_load(const target_table& table, const std::vector<std::string>& ids, time_point now)
+    -> double
 {
     auto sum = 0.0;
-    for (const auto& entry : candidates) {
-        sum += entry.load;
+    auto count = 0;
+    for (const auto& id : ids) {
+        const auto& place = table.targets.at(id);
+        if (place.gone == absence::none) {
+            sum += estimated_load(table, place, now);
+            ++count;
+        }
     }
-    return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+    return sum / std::max(count, 1);
 }
 
 /// First target in rendezvous order that can take the request; null without one.
@@ -142,7 +150,7 @@
     }
     const auto candidates = list_candidates(table, query, ids->second, choice, now);
     choice.candidates = candidates.size();
-    choice.mean = mean_load(candidates);
+    choice.mean = mean_load(table, ids->second, now);
     const auto* keeper = find_keeper(candidates, query, weights, choice.mean, now);
     auto best = std::numeric_limits<double>::infinity();
     for (const auto& entry : candidates) {
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -22,12 +22,14 @@
     if (std::find(ids.begin(), ids.end(), entry.id) == ids.end()) {
         ids.push_back(entry.id);
         std::sort(ids.begin(), ids.end());
+        table.by_key[name_key(entry.id)] = entry.id;
     }
 }
 
 auto unindex_target(target_table& table, const published_target& entry) -> void
 {
     std::erase(table.by_service[entry.service], entry.id);
+    table.by_key.erase(name_key(entry.id));
 }
 
 } // namespace
@@ -114,6 +116,7 @@
 auto begin_request(target_table& table, target& chosen, time_point now) -> void
 {
     ++chosen.running;
+    chosen.last_begun = now;
     if (chosen.load) {
         ++chosen.load->begun_since;
     }
@@ -155,7 +158,7 @@
 auto note_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now)
     -> void
 {
-    reporting.load = reported_load{running, waiting, now, 0};
+    reporting.load = reported_load{running + waiting, now, 0, report_origin::own_answer, now};
 }
 
 auto estimated_load(const target_table& table, const target& candidate, time_point now) -> double
@@ -163,8 +166,7 @@
     auto estimate = static_cast<double>(candidate.running);
     if (candidate.load && now - candidate.load->at < table.settings.load_limit) {
         const auto& load = *candidate.load;
-        estimate =
-            std::max(estimate, static_cast<double>(load.running + load.waiting + load.begun_since));
+        estimate = std::max(estimate, static_cast<double>(load.requests + load.begun_since));
     }
     return estimate;
 }
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -11,6 +11,11 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+auto name_key(std::string_view name) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(hash64(name));
+}
+
 auto to_hex(std::uint64_t value) -> std::string
 {
     constexpr std::string_view digits = "0123456789abcdef";
--- /dev/null
+++ b/tests/unit-load_bound.cpp
@@ -0,0 +1,264 @@
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "cyclamenpost/routing/load_sharing.hpp"
+#include "cyclamenpost/routing/target_choice.hpp"
+
+using namespace cyclamenpost;
+using namespace std::chrono_literals;
+
+// Replays, in virtual time, a large fleet before one service while a zone of targets is out: each
+// instance serves a few requests a second and hears few answers itself.
+
+namespace {
+
+enum class policy { random, least_loaded, unshared, shared };
+
+/// One kind of request: how often it comes, how many prompts it spreads over, how long it takes.
+struct request_kind {
+    double per_second;
+    std::uint64_t prompts;
+    std::uint32_t shared_tokens;
+    duration work;
+};
+
+struct pattern {
+    std::size_t instances = 88;
+    std::size_t targets = 60;
+    /// Targets that get nothing, though they count in the service's mean.
+    std::size_t out = 20;
+    std::vector<request_kind> kinds = {
+        {90, 283, 10'500, 1900ms}, {137, 290, 700, 1250ms}, {150, 471, 2000, 100ms}};
+    /// Prompts are asked for with weights of rank to the power of minus this (Zipf).
+    double skew = 0.3;
+    duration first_answer = 80ms;
+    duration share_period = 200ms;
+    /// Mean time from a collector's message to the last instance, over the other collectors.
+    duration share_delay = 200ms;
+    duration length = 8s;
+};
+
+struct event {
+    time_point at;
+    enum class kind { arrival, answer, end, share } what = kind::arrival;
+    std::size_t instance = 0;
+    /// Kind of an arriving request.
+    std::size_t kind = 0;
+    std::string target;
+
+    auto operator<(const event& other) const -> bool
+    {
+        return at > other.at;
+    }
+};
+
+struct fleet_model {
+    pattern load;
+    policy how;
+    std::mt19937_64 random;
+    std::vector<target_table> tables;
+    /// Targets without load, which name a prompt's first keeper.
+    target_table idle;
+    std::map<std::string, std::uint32_t> held;
+    std::priority_queue<event> events;
+    std::vector<std::discrete_distribution<std::uint64_t>> prompts;
+    time_point shared_until{};
+    int sent = 0;
+    int over = 0;
+    int kept = 0;
+
+    fleet_model(pattern chosen, policy by, std::uint64_t seed)
+        : load(std::move(chosen)), how(by), random(seed), tables(load.instances)
+    {
+        for (const auto& kind : load.kinds) {
+            auto weights = std::vector<double>{};
+            for (std::uint64_t rank = 1; rank <= kind.prompts; ++rank) {
+                weights.push_back(std::pow(rank, -load.skew));
+            }
+            prompts.emplace_back(weights.begin(), weights.end());
+        }
+        for (std::size_t index = 0; index < load.targets; ++index) {
+            auto entry = published_target{};
+            entry.id = "t" + std::to_string(index);
+            entry.service = "engine";
+            entry.zone = index < load.out ? "out" : index % 2 == 0 ? "a" : "b";
+            entry.capacity = 64;
+            held[entry.id] = 0;
+            for (auto& table : tables) {
+                publish_target(table, entry, time_point{});
+                table.zones_out.insert("out");
+            }
+            publish_target(idle, entry, time_point{});
+            idle.zones_out.insert("out");
+        }
+    }
+
+    /// The fleet starts empty; the first seconds fill it.
+    auto counted(time_point now) const -> bool
+    {
+        return now > time_point{} + 2s;
+    }
+
+    auto exponential(duration mean) -> duration
+    {
+        auto share = std::exponential_distribution<double>{1.0};
+        return std::chrono::duration_cast<duration>(mean * share(random));
+    }
+
+    auto mean_held() const -> double
+    {
+        auto sum = 0.0;
+        for (const auto& [id, count] : held) {
+            sum += count;
+        }
+        return sum / static_cast<double>(held.size());
+    }
+
+    auto choose(std::size_t instance, std::size_t kind, time_point now) -> std::string
+    {
+        auto usable = std::vector<std::string>{};
+        for (std::size_t index = load.out; index < load.targets; ++index) {
+            usable.push_back("t" + std::to_string(index));
+        }
+        auto& table = tables[instance];
+        if (how == policy::random) {
+            return usable[random() % usable.size()];
+        }
+        if (how == policy::least_loaded) {
+            std::shuffle(usable.begin(), usable.end(), random);
+            return *std::min_element(usable.begin(), usable.end(),
+                                     [&](const auto& left, const auto& right) {
+                                         return estimated_load(table, table.targets.at(left), now) <
+                                                estimated_load(table, table.targets.at(right), now);
+                                     });
+        }
+        auto query = choice_query{};
+        query.service = "engine";
+        query.affinity = hash64(std::to_string(kind), prompts[kind](random));
+        query.shared_tokens = load.kinds[kind].shared_tokens;
+        const auto choice = choose_target(table, query, {}, now);
+        const auto first = choose_target(idle, query, {}, now);
+        kept += counted(now) && first.chosen->published.id == choice.chosen->published.id ? 1 : 0;
+        return choice.chosen->published.id;
+    }
+
+    auto arrive(const event& now) -> void
+    {
+        const auto id = choose(now.instance, now.kind, now.at);
+        constexpr auto allowed_multiple = 2.0;
+        constexpr auto allowed_slack = 3.0;
+        if (counted(now.at)) {
+            ++sent;
+            over += held[id] > allowed_multiple * mean_held() + allowed_slack ? 1 : 0;
+        }
+        ++held[id];
+        auto& table = tables[now.instance];
+        begin_request(table, table.targets.at(id), now.at);
+        const auto answered = now.at + load.first_answer;
+        events.push({answered, event::kind::answer, now.instance, now.kind, id});
+        events.push({answered + exponential(load.kinds[now.kind].work), event::kind::end,
+                     now.instance, now.kind, id});
+    }
+
+    /// Passes on what the instances have read, as the collectors do.
+    auto share(time_point now) -> void
+    {
+        auto told = std::vector<shared_load>{};
+        for (const auto& table : tables) {
+            const auto own =
+                loads_learnt_after(table, shared_until, report_origin::own_answer, now);
+            told.insert(told.end(), own.begin(), own.end());
+        }
+        shared_until = now;
+        for (auto& entry : told) {
+            entry.age += load.share_delay;
+        }
+        for (auto& table : tables) {
+            take_shared_loads(table, told, report_origin::zone_peer, now + load.share_delay);
+        }
+    }
+
+    auto gap_after(std::size_t kind) -> duration
+    {
+        return exponential(std::chrono::duration_cast<duration>(1s / load.kinds[kind].per_second));
+    }
+
+    auto run() -> void
+    {
+        for (std::size_t kind = 0; kind < load.kinds.size(); ++kind) {
+            events.push({time_point{}, event::kind::arrival, 0, kind, {}});
+        }
+        events.push({time_point{}, event::kind::share, 0, 0, {}});
+        while (!events.empty() && events.top().at < time_point{} + load.length) {
+            const auto now = events.top();
+            events.pop();
+            switch (now.what) {
+            case event::kind::arrival:
+                arrive(now);
+                events.push({now.at + gap_after(now.kind),
+                             event::kind::arrival,
+                             random() % load.instances,
+                             now.kind,
+                             {}});
+                break;
+            case event::kind::answer: {
+                auto& known = tables[now.instance].targets.at(now.target);
+                note_load(known, held[now.target], 0, now.at);
+                break;
+            }
+            case event::kind::end: {
+                auto& table = tables[now.instance];
+                --held[now.target];
+                end_request(table, table.targets.at(now.target), target_outcome::good, {}, now.at);
+                break;
+            }
+            case event::kind::share:
+                if (how == policy::shared) {
+                    share(now.at);
+                }
+                events.push({now.at + load.share_period, event::kind::share, 0, 0, {}});
+                break;
+            }
+        }
+    }
+};
+
+struct outcome_shares {
+    double over = 0;
+    double kept = 0;
+};
+
+auto play(const pattern& load, policy how, std::uint64_t seed) -> outcome_shares
+{
+    auto model = fleet_model{load, how, seed};
+    model.run();
+    REQUIRE(model.sent > 0);
+    const auto sent = static_cast<double>(model.sent);
+    return {model.over / sent, model.kept / sent};
+}
+
+// the users allow three in a hundred requests at a target above twice the mean, plus three
+constexpr auto allowed_over = 0.03;
+
+} // namespace
+
+TEST_CASE("load_bound: a large fleet keeps the bound while a zone is out because loads are shared")
+{
+    for (const auto seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+        const auto unshared = play({}, policy::unshared, seed);
+        const auto shared = play({}, policy::shared, seed);
+        const auto least = play({}, policy::least_loaded, seed);
+        const auto random = play({}, policy::random, seed);
+        CAPTURE(seed);
+        INFO("over the bound: unshared ", unshared.over, ", shared ", shared.over,
+             ", least loaded ", least.over, ", random ", random.over,
+             "; at the first keeper: unshared ", unshared.kept, ", shared ", shared.kept);
+        CHECK(shared.over <= allowed_over);
+        CHECK(shared.over < unshared.over);
+    }
+}
--- /dev/null
+++ b/tests/unit-load_sharing.cpp
@@ -0,0 +1,133 @@
+#include <doctest/doctest.h>
+
+#include "cyclamenpost/routing/load_sharing.hpp"
+
+using namespace cyclamenpost;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto start = time_point{} + 100s;
+
+using zone_members = std::map<std::string, std::vector<std::string>>;
+
+auto table_of(const std::vector<std::string>& ids) -> target_table
+{
+    auto table = target_table{};
+    for (const auto& id : ids) {
+        auto entry = published_target{};
+        entry.id = id;
+        entry.service = "engine";
+        publish_target(table, entry, start);
+    }
+    return table;
+}
+
+auto collector_in(const zone_members& members, const std::string& zone) -> std::string
+{
+    for (const auto& id : members.at(zone)) {
+        if (load_recipients_of(members, id, zone).collector.empty()) {
+            return id;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("load_sharing: one instance of a zone collects, tells its zone and the other collectors")
+{
+    const auto members =
+        zone_members{{"a", {"a1", "a2", "a3", "a4"}}, {"b", {"b1", "b2"}}, {"c", {"c1"}}};
+    const auto collector = collector_in(members, "a");
+    REQUIRE_FALSE(collector.empty());
+    for (const auto& id : members.at("a")) {
+        const auto recipients = load_recipients_of(members, id, "a");
+        if (id == collector) {
+            CHECK(recipients.zone_peers.size() == 3);
+            CHECK(recipients.other_collectors ==
+                  std::vector<std::string>{collector_in(members, "b"), "c1"});
+            continue;
+        }
+        CHECK(recipients.collector == collector);
+        CHECK(recipients.zone_peers.empty());
+        CHECK(recipients.other_collectors.empty());
+    }
+}
+
+TEST_CASE("load_sharing: an instance that knows nobody sends nothing")
+{
+    const auto recipients = load_recipients_of({{"a", {"a1"}}}, "a1", "a");
+    CHECK(recipients.collector.empty());
+    CHECK(recipients.zone_peers.empty());
+    CHECK(recipients.other_collectors.empty());
+}
+
+TEST_CASE("load_sharing: a report reaches an instance that never used the target")
+{
+    auto here = table_of({"t1", "t2"});
+    auto there = table_of({"t1", "t2"});
+    note_load(here.targets.at("t1"), 4, 3, start);
+    const auto told = loads_learnt_after(here, {}, report_origin::own_answer, start + 100ms);
+    REQUIRE(told.size() == 1);
+    take_shared_loads(there, told, report_origin::zone_peer, start + 200ms);
+    CHECK(estimated_load(there, there.targets.at("t1"), start + 300ms) == doctest::Approx(7));
+    CHECK(estimated_load(there, there.targets.at("t2"), start + 300ms) == doctest::Approx(0));
+    // its age counts from the target's answer
+    CHECK(estimated_load(there, there.targets.at("t1"), start + 2200ms) == doctest::Approx(0));
+}
+
+TEST_CASE("load_sharing: an older report never replaces a newer one")
+{
+    auto table = table_of({"t1"});
+    auto& place = table.targets.at("t1");
+    note_load(place, 5, 0, start);
+    take_shared_loads(table, {{name_key("t1"), 9, 500ms}}, report_origin::zone_peer, start + 100ms);
+    CHECK(estimated_load(table, place, start + 100ms) == doctest::Approx(5));
+    take_shared_loads(table, {{name_key("t1"), 2, 10ms}}, report_origin::zone_peer, start + 100ms);
+    CHECK(estimated_load(table, place, start + 100ms) == doctest::Approx(2));
+    take_shared_loads(table, {{name_key("unknown"), 2, 0ms}}, report_origin::zone_peer, start);
+    CHECK(table.targets.size() == 1);
+}
+
+TEST_CASE("load_sharing: own requests since the report are added")
+{
+    auto table = table_of({"t1"});
+    auto& place = table.targets.at("t1");
+    note_load(place, 1, 0, start);
+    begin_request(table, place, start + 200ms);
+    take_shared_loads(table, {{name_key("t1"), 3, 50ms}}, report_origin::zone_peer, start + 100ms);
+    CHECK(estimated_load(table, place, start + 200ms) == doctest::Approx(4));
+    take_shared_loads(table, {{name_key("t1"), 3, 50ms}}, report_origin::zone_peer, start + 400ms);
+    CHECK(estimated_load(table, place, start + 400ms) == doctest::Approx(3));
+}
+
+TEST_CASE("load_sharing: reports pass on once and never back to other zones")
+{
+    auto table = table_of({"t1", "t2", "t3"});
+    note_load(table.targets.at("t1"), 1, 0, start);
+    take_shared_loads(table, {{name_key("t2"), 2, 0ms}}, report_origin::zone_peer, start + 10ms);
+    take_shared_loads(table, {{name_key("t3"), 3, 0ms}}, report_origin::other_zone, start + 20ms);
+    const auto now = start + 100ms;
+    CHECK(loads_learnt_after(table, {}, report_origin::own_answer, now).size() == 1);
+    CHECK(loads_learnt_after(table, {}, report_origin::zone_peer, now).size() == 2);
+    CHECK(loads_learnt_after(table, {}, report_origin::other_zone, now).size() == 3);
+    CHECK(loads_learnt_after(table, start + 15ms, report_origin::other_zone, now).size() == 1);
+    CHECK(loads_learnt_after(table, now, report_origin::other_zone, now).empty());
+    CHECK(loads_learnt_after(table, {}, report_origin::other_zone, start + 1min).empty());
+}
+
+TEST_CASE("load_sharing: a target that starts anew or is forgotten takes its reports along")
+{
+    auto table = table_of({"t1"});
+    take_shared_loads(table, {{name_key("t1"), 3, 0ms}}, report_origin::zone_peer, start);
+    auto entry = table.targets.at("t1").published;
+    entry.started_ms = 2;
+    publish_target(table, entry, start);
+    CHECK_FALSE(table.targets.at("t1").load.has_value());
+    remove_target(table, "t1", absence::removed, start);
+    forget_gone(table, start + 1min);
+    take_shared_loads(table, {{name_key("t1"), 3, 0ms}}, report_origin::zone_peer, start + 1min);
+    CHECK(table.targets.empty());
+    CHECK(table.by_key.empty());
+}
