Let a prompt's second keeper relieve a crowded first

Change: while the first keeper holds more than 1.3 x the mean + 1.5, the second in rendezvous order takes the request if it holds three less (power of two choices).

--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -36,6 +36,11 @@
     double bound_multiple = 1.8;
     double bound_slack = 2.5;
     double over_bound = 50;
+    /// A prompt's first keeper above this multiple of the mean, plus the slack, is relieved by the
+    /// second, if that has this many requests less.
+    double crowded_multiple = 1.3;
+    double crowded_slack = 1.5;
+    double relief_gap = 3;
 };
 
 /// Why no target was chosen.
@@ -68,8 +73,9 @@
 
 /// Chooses the target with the lowest cost: its load, the zone it is in, whether it keeps the
 /// prompt, and its failures. The keeper of a prompt is the first in rendezvous order over the
-/// prompt's hash that is neither over the load bound nor failing, so that all instances agree
-/// without telling each other (consistent hashing with bounded loads, Mirrokni et al. 2018).
+/// prompt's hash that is neither over the load bound nor failing (consistent hashing with bounded
+/// loads, Mirrokni et al. 2018). While that one is crowded, the second may take its place: the
+/// choice between two evens out loads that are known late (Mitzenmacher 2001).
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice;
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -1,8 +1,8 @@
 #include "cyclamenpost/routing/target_choice.hpp"
 
 #include <algorithm>
-
 #include <limits>
+#include <utility>
 
 namespace cyclamenpost {
 
@@ -39,25 +39,44 @@
     return sum / std::max(count, 1);
 }
 
-/// First target in rendezvous order that can take the request; null without one.
+/// A candidate with its place in a prompt's rendezvous order.
+struct ranked {
+    const candidate* entry = nullptr;
+    std::uint64_t hash = 0;
+};
+
+/// Target that keeps a prompt: the first in rendezvous order that can take the request, or the
+/// second while the first is well above the mean and the second has room. Null without one.
 auto find_keeper(const std::vector<candidate>& candidates, const choice_query& query,
                  const choice_weights& weights, double mean, time_point now) -> const target*
 {
-    const target* keeper = nullptr;
-    auto best = std::uint64_t{0};
+    auto first = ranked{};
+    auto second = ranked{};
     if (query.affinity == 0) {
-        return keeper;
+        return nullptr;
     }
     for (const auto& entry : candidates) {
-        const auto hash = hash64(entry.place->published.id, query.affinity);
         const auto fit =
             entry.open && !over_bound(entry.load, mean, weights) && now >= entry.place->avoid_until;
-        if (fit && (keeper == nullptr || hash > best)) {
-            keeper = entry.place;
-            best = hash;
+        if (!fit) {
+            continue;
+        }
+        const auto next = ranked{&entry, hash64(entry.place->published.id, query.affinity)};
+        if (first.entry == nullptr || next.hash > first.hash) {
+            second = std::exchange(first, next);
         }
+        else if (second.entry == nullptr || next.hash > second.hash) {
+            second = next;
+        }
+    }
+    if (first.entry == nullptr) {
+        return nullptr;
     }
-    return keeper;
+    const auto crowded =
+        first.entry->load + 1 > weights.crowded_multiple * mean + weights.crowded_slack;
+    const auto relieved = crowded && second.entry != nullptr &&
+                          second.entry->load + weights.relief_gap < first.entry->load;
+    return (relieved ? second : first).entry->place;
 }
 
 /// First target in rendezvous order, besides the chosen one, that can give the prompt.
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -96,6 +96,27 @@
     CHECK(chosen_id(table, query) != keeper);
 }
 
+TEST_CASE("target_choice: a crowded keeper is relieved by the prompt's second one alone")
+{
+    auto table = make_table(8);
+    const auto query = prompt_query(7);
+    const auto first = chosen_id(table, query);
+    for (auto& [id, place] : table.targets) {
+        place.running = 5;
+    }
+    // ten are allowed here, so the load bound still lets the first one take more
+    table.targets.at(first).running = 9;
+    const auto second = chosen_id(table, query);
+    CHECK(second != first);
+    table.targets.at(second).running = 7;
+    CHECK(chosen_id(table, query) == first);
+    // a busy service is not a crowded keeper
+    for (auto& [id, place] : table.targets) {
+        place.running = 9;
+    }
+    CHECK(chosen_id(table, query) == first);
+}
+
 TEST_CASE("target_choice: reported load counts together with what was begun since")
 {
     auto table = make_table(2);
