Leave the store to its readers at their first notice

Ruled out: heartbeats of targets (revisions stay while nothing changes), lost watches (no store_lost line). Change: an instance leaves the store to others when it is no reader of its zone and has heard a reader's notice; the joining time goes. has_to_read decides. Tests: a case of unit-store_readers, for a function that did not exist.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -102,7 +102,6 @@
     timer fetch_timer_;
     timer notice_timer_;
     time_point last_notice_{};
-    time_point started_{};
     time_point last_fetch_{};
     /// How far others have read the store, as last heard of them.
     std::map<std::string, std::uint64_t> revisions_;
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "cyclamenpost/types.hpp"
+
 namespace cyclamenpost {
 
 /// Most instances of a zone that read the store themselves. Its rates and prices grow with the
@@ -16,6 +18,17 @@
 /// also passes changes on.
 auto store_readers(std::vector<std::string> zone_members) -> std::vector<std::string>;
 
+/// Readers say this often that they read the store.
+inline constexpr duration notice_period = std::chrono::milliseconds{700};
+
+/// An instance that has missed two notices reads the store itself.
+inline constexpr duration notice_limit = std::chrono::milliseconds{1700};
+
+/// Whether an instance has to read the store itself: it is a reader, as far as it knows its zone,
+/// or no reader has told it anything for a while. At a start that holds until the first notice.
+auto has_to_read(const std::vector<std::string>& readers, std::string_view own_id,
+                 duration since_notice) -> bool;
+
 /// Reader that an instance asks for large changes: another one for each instance, so that no link
 /// carries them for all. Empty when the instance is the zone's only reader.
 auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
@@ -26,7 +39,7 @@
 /// may have lost the store at once. Otherwise the instance in which the revision was seen.
 auto source_of_changes(const std::vector<std::string>& readers,
                        const std::map<std::string, std::uint64_t>& revisions,
-                       std::string_view own_id, std::uint64_t revision,
-                       const std::string& seen_in) -> std::string;
+                       std::string_view own_id, std::uint64_t revision, const std::string& seen_in)
+    -> std::string;
 
 } // namespace cyclamenpost
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -27,12 +27,6 @@
 constexpr duration probe_timeout = std::chrono::milliseconds{250};
 constexpr duration revive_period = std::chrono::seconds{1};
 constexpr duration forget_time = std::chrono::seconds{60};
-// readers of the store say this often that they read it
-constexpr duration notice_period = std::chrono::milliseconds{700};
-// an instance that misses two notices reads the store itself
-constexpr duration notice_limit = std::chrono::milliseconds{1700};
-// all read the store until they know each other
-constexpr duration joining_time = std::chrono::seconds{4};
 // smaller values are sent at once, larger ones are fetched, each instance from another reader
 constexpr std::size_t pushed_bytes = 4000;
 
@@ -108,7 +102,6 @@
         seeds.push_back(std::move(seed));
     }
     cluster_.apply_list(1, seeds);
-    started_ = monotonic_now();
     notice_timer_ = loop_.call_every(notice_period, [this] { notify_zone(); });
     return {};
 }
@@ -181,11 +174,8 @@
 
 auto peers::reads_store() const -> bool
 {
-    const auto now = monotonic_now();
-    if (now - started_ < joining_time || now - last_notice_ > notice_limit) {
-        return true;
-    }
-    return is_reader(store_readers(zone_members()));
+    return has_to_read(store_readers(zone_members()), settings_.peer_address,
+                       monotonic_now() - last_notice_);
 }
 
 auto peers::notify_zone() -> void
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "cyclamenpost/types.hpp"
-
 namespace cyclamenpost {
 
 auto store_readers(std::vector<std::string> zone_members) -> std::vector<std::string>
@@ -16,6 +14,13 @@
     return zone_members;
 }
 
+auto has_to_read(const std::vector<std::string>& readers, std::string_view own_id,
+                 duration since_notice) -> bool
+{
+    const auto is_reader = std::find(readers.begin(), readers.end(), own_id) != readers.end();
+    return is_reader || since_notice > notice_limit;
+}
+
 auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
     -> std::string
 {
--- a/tests/unit-store_readers.cpp
+++ b/tests/unit-store_readers.cpp
@@ -5,6 +5,7 @@
 #include "cyclamenpost/routing/store_readers.hpp"
 
 using namespace cyclamenpost;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -55,3 +56,15 @@
     // a reader is never its own source
     CHECK(source_of_changes({"r1"}, {{"r1", 9}}, "r1", 9, "other-zone") == "other-zone");
 }
+
+TEST_CASE("store_readers: an instance leaves the store to others at their first notice")
+{
+    CHECK(has_to_read(readers, "r2", 0ms));
+    CHECK_FALSE(has_to_read(readers, "f1", 0ms));
+    CHECK_FALSE(has_to_read(readers, "f1", 2 * notice_period));
+    CHECK(has_to_read(readers, "f1", 3 * notice_period));
+    // nothing was heard since the start
+    CHECK(has_to_read(readers, "f1", 1h));
+    // one that knows nobody reads
+    CHECK(has_to_read({"f1"}, "f1", 0ms));
+}
