Notice changed settings without a signal and take over their seeds

Cause: the platform may change the settings file without a signal (DEPLOY.md); the daemon read it on SIGHUP only, and a reload never passed new seeds to membership. Change: file_watch compares the file's bytes every two seconds; a reload lists the seeds anew.

--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -4,6 +4,7 @@
 
 #include "cyclamenpost/entry/entry_instance.hpp"
 #include "cyclamenpost/entry/entry_options.hpp"
+#include "cyclamenpost/file_watch.hpp"
 #include "cyclamenpost/log.hpp"
 #include "platform_adapter.hpp"
 #include "platform_settings.hpp"
@@ -50,15 +51,21 @@
                                        status = reached;
                                        loop.stop();
                                    }};
+    const auto reload = [&] {
+        auto changed = entry_settings{};
+        if (read_settings_file(options, changed, log_reload_error)) {
+            instance.reload(std::move(changed));
+        }
+    };
+    // the file may also change without a signal
+    auto watch = file_watch{loop, options.settings_file, reload};
     const auto on_signal = [&](int signal) {
         if (signal != SIGHUP) {
             instance.begin_shutdown();
             return;
         }
-        auto changed = entry_settings{};
-        if (read_settings_file(options, changed, log_reload_error)) {
-            instance.reload(std::move(changed));
-        }
+        watch.acknowledge();
+        reload();
     };
     const auto watching = try_or([&] { return loop.watch_signals(on_signal); }, tell);
     if (!watching) {
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -43,6 +43,9 @@
     /// Joins the fleet. Fails with `bus_failed`.
     auto start() -> result<void>;
 
+    /// Takes over the seeds of changed settings.
+    auto apply_seeds() -> void;
+
     /// Leaves without a word, as when the process ends.
     auto stop() -> void;
 
@@ -103,6 +106,8 @@
     timer notice_timer_;
     time_point last_notice_{};
     time_point last_fetch_{};
+    /// Counts the lists of seeds, since membership ignores a list that is not newer.
+    std::uint64_t seeds_version_ = 0;
     /// How far others have read the store, as last heard of them.
     std::map<std::string, std::uint64_t> revisions_;
     /// An answer to the last fetch is still to come.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -171,6 +171,7 @@
               {{"instance", settings.name}, {"seeds", std::to_string(settings.seeds.size())}});
     settings_ = std::move(settings);
     apply_bounds();
+    peers_.apply_seeds();
 }
 
 auto entry_instance::ready() const -> bool
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -92,6 +92,13 @@
     events.on_config_sighting = [this](const config_sighting& seen) { on_sighting(seen); };
     events.on_message = [this](const wire::envelope& message) { on_message(message); };
     BOOST_LEAF_CHECK(cluster_.start(std::move(events)));
+    apply_seeds();
+    notice_timer_ = loop_.call_every(notice_period, [this] { notify_zone(); });
+    return {};
+}
+
+auto peers::apply_seeds() -> void
+{
     auto seeds = std::vector<member_record>{};
     for (const auto& address : settings_.seeds) {
         auto seed = member_record{};
@@ -101,9 +108,7 @@
         seed.zone = settings_.zone;
         seeds.push_back(std::move(seed));
     }
-    cluster_.apply_list(1, seeds);
-    notice_timer_ = loop_.call_every(notice_period, [this] { notify_zone(); });
-    return {};
+    cluster_.apply_list(++seeds_version_, seeds);
 }
 
 auto peers::stop() -> void
--- /dev/null
+++ b/src/file_watch.cpp
@@ -0,0 +1,51 @@
+#include "cyclamenpost/file_watch.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+#include "cyclamenpost/types.hpp"
+
+namespace cyclamenpost {
+
+namespace {
+
+// changes are rare and nobody waits for them; a read of some kilobytes costs three system calls
+constexpr duration look_period = std::chrono::seconds{2};
+
+auto digest_of(const std::string& path) -> std::optional<std::uint64_t>
+{
+    auto file = std::ifstream{path, std::ios::binary};
+    if (!file) {
+        return std::nullopt;
+    }
+    const auto bytes =
+        std::string{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
+    return hash64(bytes);
+}
+
+} // namespace
+
+file_watch::file_watch(event_loop& loop, std::string path, std::function<void()> on_change)
+    : path_(std::move(path)),
+      on_change_(std::move(on_change)),
+      timer_(loop.call_every(look_period, [this] { look(); }))
+{
+    acknowledge();
+}
+
+auto file_watch::acknowledge() -> void
+{
+    known_ = digest_of(path_).value_or(known_);
+}
+
+auto file_watch::look() -> void
+{
+    const auto digest = digest_of(path_);
+    if (digest && std::exchange(known_, *digest) != *digest) {
+        on_change_();
+    }
+}
+
+} // namespace cyclamenpost
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -225,3 +225,24 @@
         wait([&] { return version(index) == 3; });
     }
 }
+
+TEST_CASE_FIXTURE(small_fleet, "entry_instance: seeds of changed settings lead to other instances")
+{
+    start(1);
+    // the second one's only seed is an address where nobody listens
+    auto& lost = settings.emplace_back(settings.front());
+    lost.front_address = free_address(loop);
+    lost.ready_address = free_address(loop);
+    lost.directory_address = free_address(loop);
+    lost.peer_address = free_address(loop);
+    lost.seeds = {free_address(loop)};
+    instances.push_back(std::make_unique<entry_instance>(loop, platform::make_port(), lost,
+                                                         [this](int) { ++ended; }));
+    instances.back()->start();
+    wait_ready();
+    CHECK(addresses(1) == 1);
+    auto changed = settings.back();
+    changed.seeds = {settings.front().peer_address};
+    instances.back()->reload(changed);
+    wait([&] { return addresses(1) == 2 && addresses(0) == 2; });
+}
--- /dev/null
+++ b/tests/unit-file_watch.cpp
@@ -0,0 +1,64 @@
+#include <filesystem>
+#include <fstream>
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include "cyclamenpost/file_watch.hpp"
+
+using namespace cyclamenpost;
+
+namespace {
+
+constexpr auto limit = std::chrono::seconds{20};
+
+struct watched_file {
+    event_loop loop;
+    std::string path =
+        std::filesystem::temp_directory_path() / ("cyclamenpost-watch-" + std::to_string(getpid()));
+    int changes = 0;
+
+    watched_file()
+    {
+        write("first");
+    }
+
+    ~watched_file()
+    {
+        std::filesystem::remove(path);
+    }
+
+    auto write(const std::string& text) const -> void
+    {
+        std::ofstream{path} << text;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(watched_file, "file_watch: a file of the same length with other bytes is noticed")
+{
+    const auto watch = file_watch{loop, path, [this] { ++changes; }};
+    write("other");
+    CHECK(loop.run_until([this] { return changes == 1; }, limit));
+}
+
+TEST_CASE_FIXTURE(watched_file,
+                  "file_watch: a missing file and an acknowledged change are not told")
+{
+    auto watch = file_watch{loop, path, [this] { ++changes; }};
+    write("known");
+    watch.acknowledge();
+    auto looks = 0;
+    const auto later = loop.call_every(std::chrono::milliseconds{2100}, [&] {
+        if (++looks == 1) {
+            std::filesystem::remove(path);
+        }
+        if (looks == 2) {
+            write("third");
+        }
+    });
+    CHECK(loop.run_until([this] { return changes > 0; }, limit));
+    CHECK(looks >= 2);
+    CHECK(changes == 1);
+}
