--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -8,8 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include "../tests/virtual_fleet.hpp"
-#include "cyclamenpost/bus.hpp"
-#include "cyclamenpost/wire.hpp"
+#include "cyclamenpost/membership/bus.hpp"
+#include "cyclamenpost/membership/wire.hpp"
 
 using namespace cyclamenpost;
 
--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -9,8 +9,8 @@
 #include <set>
 #include <unordered_map>
 
-#include "cyclamenpost/chat_table.hpp"
-#include "cyclamenpost/placement.hpp"
+#include "cyclamenpost/placement/chat_table.hpp"
+#include "cyclamenpost/placement/placement.hpp"
 
 using namespace cyclamenpost;
 
--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -11,12 +11,12 @@
 #include <malloc.h>
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/idempotency.hpp"
-#include "cyclamenpost/limits.hpp"
-#include "cyclamenpost/lookup.hpp"
-#include "cyclamenpost/orders.hpp"
-#include "cyclamenpost/problem.hpp"
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/limits/idempotency.hpp"
+#include "cyclamenpost/limits/limits.hpp"
+#include "cyclamenpost/limits/retries.hpp"
+#include "cyclamenpost/placement/lookup.hpp"
+#include "cyclamenpost/placement/orders.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/bench/bench_relay.cpp
+++ b/bench/bench_relay.cpp
@@ -7,8 +7,8 @@
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
-#include "cyclamenpost/event_stream.hpp"
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/transport/event_stream.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/daemons/cyclamenpost.cpp
+++ b/daemons/cyclamenpost.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "cyclamenpost/operator_cli.hpp"
+#include "cyclamenpost/operator/operator_cli.hpp"
 
 auto main(int argc, char** argv) -> int
 {
--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -2,10 +2,10 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "cyclamenpost/core/file_watch.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/entry/entry_instance.hpp"
 #include "cyclamenpost/entry/entry_options.hpp"
-#include "cyclamenpost/file_watch.hpp"
-#include "cyclamenpost/log.hpp"
 #include "platform_adapter.hpp"
 #include "platform_settings.hpp"
 
--- a/daemons/cyclamenpostd.cpp
+++ b/daemons/cyclamenpostd.cpp
@@ -1,8 +1,8 @@
 #include <csignal>
 #include <iostream>
 
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/router.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/relay/router.hpp"
 
 using namespace cyclamenpost;
 
--- a/fakes/lib/chat_content.cpp
+++ b/fakes/lib/chat_content.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost::fakes {
 
--- a/fakes/lib/fake_application.hpp
+++ b/fakes/lib/fake_application.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/history.hpp"
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/core/history.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost::fakes {
 
--- a/fakes/lib/fake_platform.cpp
+++ b/fakes/lib/fake_platform.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/instance_list.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
 
 namespace cyclamenpost::fakes {
 
--- a/fakes/lib/fake_platform.hpp
+++ b/fakes/lib/fake_platform.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/http.hpp"
-#include "cyclamenpost/published_text.hpp"
+#include "cyclamenpost/configuration/published_text.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost::fakes {
 
--- a/fakes/lib/history_checker.hpp
+++ b/fakes/lib/history_checker.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/history.hpp"
+#include "cyclamenpost/core/history.hpp"
 
 namespace cyclamenpost::fakes {
 
--- a/fakes/scenario.cpp
+++ b/fakes/scenario.cpp
@@ -13,8 +13,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "cyclamenpost/history.hpp"
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/core/history.hpp"
+#include "cyclamenpost/transport/http.hpp"
 #include "history_checker.hpp"
 
 using namespace cyclamenpost;
--- a/include/cyclamenpost/config_service.hpp
+++ b/include/cyclamenpost/configuration/config_service.hpp
@@ -4,10 +4,10 @@
 #include <memory>
 #include <string>
 
-#include "cyclamenpost/cluster_node.hpp"
-#include "cyclamenpost/config_state.hpp"
-#include "cyclamenpost/instance_list.hpp"
-#include "cyclamenpost/platform_client.hpp"
+#include "cyclamenpost/configuration/config_state.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
+#include "cyclamenpost/configuration/platform_client.hpp"
+#include "cyclamenpost/membership/cluster_node.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/config_state.hpp
+++ b/include/cyclamenpost/configuration/config_state.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/fleet_config.hpp"
-#include "cyclamenpost/published_text.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
+#include "cyclamenpost/configuration/published_text.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/fleet_config.hpp
+++ b/include/cyclamenpost/configuration/fleet_config.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/instance_list.hpp
+++ b/include/cyclamenpost/configuration/instance_list.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/config_state.hpp"
+#include "cyclamenpost/configuration/config_state.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/platform_client.hpp
+++ b/include/cyclamenpost/configuration/platform_client.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "cyclamenpost/event_loop.hpp"
-#include "cyclamenpost/published_text.hpp"
+#include "cyclamenpost/configuration/published_text.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/settings.hpp
+++ b/include/cyclamenpost/configuration/settings.hpp
@@ -6,9 +6,9 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/address.hpp"
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/address.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/error.hpp
+++ b/include/cyclamenpost/core/error.hpp
@@ -6,7 +6,7 @@
 
 #include <boost/leaf.hpp>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/file_watch.hpp
+++ b/include/cyclamenpost/core/file_watch.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/history.hpp
+++ b/include/cyclamenpost/core/history.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/log.hpp
+++ b/include/cyclamenpost/core/log.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "cyclamenpost/error.hpp"
+#include "cyclamenpost/core/error.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/log_buffer.hpp
+++ b/include/cyclamenpost/core/log_buffer.hpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <string_view>
 
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/supervisor.hpp
+++ b/include/cyclamenpost/core/supervisor.hpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/event_loop.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/types.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -3,6 +3,8 @@
 #include <functional>
 #include <memory>
 
+#include "cyclamenpost/core/metrics.hpp"
+#include "cyclamenpost/core/supervisor.hpp"
 #include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/entry/fleet_view.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
@@ -10,8 +12,6 @@
 #include "cyclamenpost/entry/peers.hpp"
 #include "cyclamenpost/entry/platform_port.hpp"
 #include "cyclamenpost/entry/store_reader.hpp"
-#include "cyclamenpost/metrics.hpp"
-#include "cyclamenpost/supervisor.hpp"
 #include "cyclamenpost/transport/http1_server.hpp"
 
 namespace cyclamenpost {
--- a/include/cyclamenpost/entry/entry_options.hpp
+++ b/include/cyclamenpost/entry/entry_options.hpp
@@ -2,9 +2,9 @@
 
 #include <string>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/settings.hpp"
+#include "cyclamenpost/configuration/settings.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/limits/retries.hpp"
 #include "cyclamenpost/routing/route_table.hpp"
 #include "cyclamenpost/routing/target_table.hpp"
 
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -5,9 +5,9 @@
 #include <memory>
 #include <random>
 
+#include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/entry/fleet_view.hpp"
 #include "cyclamenpost/entry/platform_port.hpp"
-#include "cyclamenpost/metrics.hpp"
 #include "cyclamenpost/routing/target_choice.hpp"
 #include "cyclamenpost/transport/http1_client.hpp"
 #include "cyclamenpost/transport/http1_server.hpp"
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/cluster_node.hpp"
 #include "cyclamenpost/entry/entry_settings.hpp"
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/limits/retries.hpp"
+#include "cyclamenpost/membership/cluster_node.hpp"
 #include "cyclamenpost/routing/directory.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
--- a/include/cyclamenpost/gate_service.hpp
+++ b/include/cyclamenpost/gates/gate_service.hpp
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cyclamenpost/cluster_node.hpp"
-#include "cyclamenpost/config_service.hpp"
-#include "cyclamenpost/gate.hpp"
-#include "cyclamenpost/placement.hpp"
-#include "cyclamenpost/target_monitor.hpp"
+#include "cyclamenpost/configuration/config_service.hpp"
+#include "cyclamenpost/gates/gate.hpp"
+#include "cyclamenpost/gates/target_monitor.hpp"
+#include "cyclamenpost/membership/cluster_node.hpp"
+#include "cyclamenpost/placement/placement.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/target_monitor.hpp
+++ b/include/cyclamenpost/gates/target_monitor.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/event_stream.hpp"
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/transport/event_stream.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/idempotency.hpp
+++ b/include/cyclamenpost/limits/idempotency.hpp
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include "cyclamenpost/problem.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/limits.hpp
+++ b/include/cyclamenpost/limits/limits.hpp
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "cyclamenpost/problem.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/cluster_node.hpp
+++ b/include/cyclamenpost/membership/cluster_node.hpp
@@ -4,10 +4,10 @@
 #include <random>
 #include <string>
 
-#include "cyclamenpost/bus.hpp"
-#include "cyclamenpost/event_loop.hpp"
-#include "cyclamenpost/membership.hpp"
-#include "cyclamenpost/wire.hpp"
+#include "cyclamenpost/membership/bus.hpp"
+#include "cyclamenpost/membership/membership.hpp"
+#include "cyclamenpost/membership/wire.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/membership.hpp
+++ b/include/cyclamenpost/membership/membership.hpp
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/wire.hpp
+++ b/include/cyclamenpost/membership/wire.hpp
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "cyclamenpost.pb.h"
-#include "cyclamenpost/membership.hpp"
+#include "cyclamenpost/membership/membership.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/admin.hpp
+++ b/include/cyclamenpost/operator/admin.hpp
@@ -3,10 +3,10 @@
 #include <functional>
 #include <string>
 
-#include "cyclamenpost/gate_service.hpp"
-#include "cyclamenpost/http.hpp"
-#include "cyclamenpost/metrics.hpp"
-#include "cyclamenpost/relay.hpp"
+#include "cyclamenpost/core/metrics.hpp"
+#include "cyclamenpost/gates/gate_service.hpp"
+#include "cyclamenpost/relay/relay.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/lookup.hpp
+++ b/include/cyclamenpost/placement/lookup.hpp
@@ -5,8 +5,8 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/problem.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/relay.hpp
+++ b/include/cyclamenpost/relay/relay.hpp
@@ -8,16 +8,16 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cyclamenpost/cache_index.hpp"
-#include "cyclamenpost/chat_table.hpp"
-#include "cyclamenpost/gate_service.hpp"
-#include "cyclamenpost/history.hpp"
-#include "cyclamenpost/http.hpp"
-#include "cyclamenpost/idempotency.hpp"
-#include "cyclamenpost/limits.hpp"
-#include "cyclamenpost/metrics.hpp"
-#include "cyclamenpost/problem.hpp"
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/core/history.hpp"
+#include "cyclamenpost/core/metrics.hpp"
+#include "cyclamenpost/gates/gate_service.hpp"
+#include "cyclamenpost/limits/idempotency.hpp"
+#include "cyclamenpost/limits/limits.hpp"
+#include "cyclamenpost/limits/retries.hpp"
+#include "cyclamenpost/placement/cache_index.hpp"
+#include "cyclamenpost/placement/chat_table.hpp"
+#include "cyclamenpost/relay/problem.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/router.hpp
+++ b/include/cyclamenpost/relay/router.hpp
@@ -3,9 +3,9 @@
 #include <functional>
 #include <memory>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/event_loop.hpp"
-#include "cyclamenpost/settings.hpp"
+#include "cyclamenpost/configuration/settings.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/routing/attempts.hpp
+++ b/include/cyclamenpost/routing/attempts.hpp
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/routing/route_table.hpp
+++ b/include/cyclamenpost/routing/route_table.hpp
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/event_loop.hpp
+++ b/include/cyclamenpost/transport/event_loop.hpp
@@ -3,8 +3,8 @@
 #include <functional>
 #include <memory>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 struct lws_context;
 struct lws_vhost;
--- a/include/cyclamenpost/http.hpp
+++ b/include/cyclamenpost/transport/http.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 #include "cyclamenpost/transport/http1.hpp"
 #include "cyclamenpost/transport/tcp.hpp"
 
--- a/include/cyclamenpost/transport/tcp.hpp
+++ b/include/cyclamenpost/transport/tcp.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 namespace cyclamenpost {
 
--- a/src/config_service.cpp
+++ b/src/configuration/config_service.cpp
@@ -1,9 +1,9 @@
-#include "cyclamenpost/config_service.hpp"
+#include "cyclamenpost/configuration/config_service.hpp"
 
 #include <algorithm>
 #include <set>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/src/config_state.cpp
+++ b/src/configuration/config_state.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/config_state.hpp"
+#include "cyclamenpost/configuration/config_state.hpp"
 
 #include <algorithm>
 
--- a/src/fleet_config.cpp
+++ b/src/configuration/fleet_config.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 
 #include <algorithm>
 #include <numeric>
--- a/src/fleet_config_detail.hpp
+++ b/src/configuration/fleet_config_detail.hpp
@@ -6,7 +6,7 @@
 
 #include "cyclamenpost/detail/toml.hpp"
 
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/src/fleet_config_diff.cpp
+++ b/src/configuration/fleet_config_diff.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <unordered_map>
 
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 
 namespace cyclamenpost {
 
--- a/src/fleet_config_queries.cpp
+++ b/src/configuration/fleet_config_queries.cpp
@@ -2,7 +2,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 
 namespace cyclamenpost {
 
--- a/src/fleet_config_sections.cpp
+++ b/src/configuration/fleet_config_sections.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cctype>
 
-#include "cyclamenpost/address.hpp"
+#include "cyclamenpost/core/address.hpp"
 #include "fleet_config_detail.hpp"
 
 namespace cyclamenpost::detail {
--- a/src/instance_list.cpp
+++ b/src/configuration/instance_list.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/instance_list.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
 
 #include <algorithm>
 #include <map>
@@ -7,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/address.hpp"
+#include "cyclamenpost/core/address.hpp"
 
 namespace cyclamenpost {
 
--- a/src/platform_client.cpp
+++ b/src/configuration/platform_client.cpp
@@ -1,12 +1,12 @@
-#include "cyclamenpost/platform_client.hpp"
+#include "cyclamenpost/configuration/platform_client.hpp"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <random>
 
-#include "cyclamenpost/http.hpp"
-#include "cyclamenpost/instance_list.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost {
 
--- a/src/published_text.cpp
+++ b/src/configuration/published_text.cpp
@@ -1,6 +1,6 @@
-#include "cyclamenpost/published_text.hpp"
+#include "cyclamenpost/configuration/published_text.hpp"
 
-#include "cyclamenpost/backoff.hpp"
+#include "cyclamenpost/core/backoff.hpp"
 
 #include <algorithm>
 
--- a/src/settings.cpp
+++ b/src/configuration/settings.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/settings.hpp"
+#include "cyclamenpost/configuration/settings.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -12,7 +12,7 @@
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 
 namespace cyclamenpost {
 
--- a/src/address.cpp
+++ b/src/core/address.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/address.hpp"
+#include "cyclamenpost/core/address.hpp"
 
 #include <charconv>
 #include <cstdint>
--- a/src/backoff.cpp
+++ b/src/core/backoff.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/backoff.hpp"
+#include "cyclamenpost/core/backoff.hpp"
 
 #include <algorithm>
 
--- a/src/error.cpp
+++ b/src/core/error.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/error.hpp"
+#include "cyclamenpost/core/error.hpp"
 
 namespace cyclamenpost {
 
--- a/src/file_watch.cpp
+++ b/src/core/file_watch.cpp
@@ -1,11 +1,11 @@
-#include "cyclamenpost/file_watch.hpp"
+#include "cyclamenpost/core/file_watch.hpp"
 
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <utility>
 
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 namespace cyclamenpost {
 
--- a/src/history.cpp
+++ b/src/core/history.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/history.hpp"
+#include "cyclamenpost/core/history.hpp"
 
 #include <utility>
 
--- a/src/log.cpp
+++ b/src/core/log.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 #include <cerrno>
 
@@ -11,7 +11,7 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
 
-#include "cyclamenpost/log_buffer.hpp"
+#include "cyclamenpost/core/log_buffer.hpp"
 
 namespace cyclamenpost {
 
--- a/src/log_buffer.cpp
+++ b/src/core/log_buffer.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/log_buffer.hpp"
+#include "cyclamenpost/core/log_buffer.hpp"
 
 namespace cyclamenpost {
 
--- a/src/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/metrics.hpp"
+#include "cyclamenpost/core/metrics.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/supervisor.cpp
+++ b/src/core/supervisor.cpp
@@ -1,6 +1,6 @@
-#include "cyclamenpost/supervisor.hpp"
+#include "cyclamenpost/core/supervisor.hpp"
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 #include <algorithm>
 
--- a/src/types.cpp
+++ b/src/core/types.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 #include <charconv>
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
-#include "cyclamenpost/chat_table.hpp"
+#include "cyclamenpost/core/log_buffer.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
-#include "cyclamenpost/log_buffer.hpp"
+#include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/attempts.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
 
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "cyclamenpost/entry/forwarder.hpp"
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "forward_job.hpp"
 
 namespace cyclamenpost {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <random>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/routing/store_readers.hpp"
 #include "cyclamenpost/transport/deflate.hpp"
 
--- a/src/gate.cpp
+++ b/src/gates/gate.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/gate.hpp"
+#include "cyclamenpost/gates/gate.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gate_detail.hpp
+++ b/src/gates/gate_detail.hpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cyclamenpost/gate.hpp"
+#include "cyclamenpost/gates/gate.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/src/gate_service.cpp
+++ b/src/gates/gate_service.cpp
@@ -1,8 +1,8 @@
-#include "cyclamenpost/gate_service.hpp"
+#include "cyclamenpost/gates/gate_service.hpp"
 
 #include <algorithm>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/src/gate_service_load.cpp
+++ b/src/gates/gate_service_load.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/gate_service.hpp"
+#include "cyclamenpost/gates/gate_service.hpp"
 
 #include <algorithm>
 
--- a/src/target_monitor.cpp
+++ b/src/gates/target_monitor.cpp
@@ -1,11 +1,11 @@
-#include "cyclamenpost/target_monitor.hpp"
+#include "cyclamenpost/gates/target_monitor.hpp"
 
 #include <algorithm>
 #include <set>
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/src/idempotency.cpp
+++ b/src/limits/idempotency.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/idempotency.hpp"
+#include "cyclamenpost/limits/idempotency.hpp"
 
 #include <charconv>
 #include <string>
--- a/src/limits.cpp
+++ b/src/limits/limits.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/limits.hpp"
+#include "cyclamenpost/limits/limits.hpp"
 
 #include <algorithm>
 #include <iterator>
--- a/src/retries.cpp
+++ b/src/limits/retries.cpp
@@ -1,6 +1,6 @@
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/limits/retries.hpp"
 
-#include "cyclamenpost/backoff.hpp"
+#include "cyclamenpost/core/backoff.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/bus.cpp
+++ b/src/membership/bus.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/bus.hpp"
+#include "cyclamenpost/membership/bus.hpp"
 
 #include <array>
 #include <cerrno>
@@ -10,7 +10,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
-#include "cyclamenpost/wire.hpp"
+#include "cyclamenpost/membership/wire.hpp"
 
 namespace cyclamenpost {
 
--- a/src/cluster_node.cpp
+++ b/src/membership/cluster_node.cpp
@@ -1,6 +1,6 @@
-#include "cyclamenpost/cluster_node.hpp"
+#include "cyclamenpost/membership/cluster_node.hpp"
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/src/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/membership.hpp"
+#include "cyclamenpost/membership/membership.hpp"
 
 #include <algorithm>
 
--- a/src/membership_detail.hpp
+++ b/src/membership/membership_detail.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cyclamenpost/membership.hpp"
+#include "cyclamenpost/membership/membership.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/src/wire.cpp
+++ b/src/membership/wire.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/wire.hpp"
+#include "cyclamenpost/membership/wire.hpp"
 
 #include <algorithm>
 
--- a/src/admin.cpp
+++ b/src/operator/admin.cpp
@@ -1,8 +1,8 @@
-#include "cyclamenpost/admin.hpp"
+#include "cyclamenpost/operator/admin.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 
 namespace cyclamenpost {
 
--- a/src/operator_cli.cpp
+++ b/src/operator/operator_cli.cpp
@@ -1,13 +1,13 @@
-#include "cyclamenpost/operator_cli.hpp"
+#include "cyclamenpost/operator/operator_cli.hpp"
 
 #include <fstream>
 #include <sstream>
 
 #include <tclap/CmdLine.h>
 
-#include "cyclamenpost/address.hpp"
-#include "cyclamenpost/fleet_config.hpp"
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
+#include "cyclamenpost/core/address.hpp"
+#include "cyclamenpost/transport/http.hpp"
 #include "operator_cli_detail.hpp"
 
 namespace cyclamenpost {
--- a/src/operator_cli_detail.hpp
+++ b/src/operator/operator_cli_detail.hpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/operator_cli.hpp"
+#include "cyclamenpost/operator/operator_cli.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/src/cache_index.cpp
+++ b/src/placement/cache_index.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/cache_index.hpp"
+#include "cyclamenpost/placement/cache_index.hpp"
 
 #include <utility>
 
--- a/src/chat_table.cpp
+++ b/src/placement/chat_table.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/chat_table.hpp"
+#include "cyclamenpost/placement/chat_table.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/src/lookup.cpp
+++ b/src/placement/lookup.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/lookup.hpp"
+#include "cyclamenpost/placement/lookup.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/orders.cpp
+++ b/src/placement/orders.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/orders.hpp"
+#include "cyclamenpost/placement/orders.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/placement.hpp"
+#include "cyclamenpost/placement/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/problem.cpp
+++ b/src/relay/problem.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/problem.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,8 +1,8 @@
-#include "cyclamenpost/relay.hpp"
+#include "cyclamenpost/relay/relay.hpp"
 
 #include <algorithm>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "relay_job.hpp"
 
 namespace cyclamenpost {
--- a/src/relay_application.cpp
+++ b/src/relay/relay_application.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "relay_job.hpp"
 
 namespace cyclamenpost {
--- a/src/relay_job.hpp
+++ b/src/relay/relay_job.hpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "cyclamenpost/relay.hpp"
+#include "cyclamenpost/relay/relay.hpp"
 
 namespace cyclamenpost {
 
--- a/src/relay_model.cpp
+++ b/src/relay/relay_model.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
 #include "relay_job.hpp"
 
 namespace cyclamenpost {
--- a/src/router.cpp
+++ b/src/relay/router.cpp
@@ -1,15 +1,15 @@
-#include "cyclamenpost/router.hpp"
+#include "cyclamenpost/relay/router.hpp"
 
 #include <algorithm>
 #include <random>
 
 #include <nlohmann/json.hpp>
 
-#include "cyclamenpost/admin.hpp"
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/lookup.hpp"
-#include "cyclamenpost/relay.hpp"
-#include "cyclamenpost/supervisor.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/core/supervisor.hpp"
+#include "cyclamenpost/operator/admin.hpp"
+#include "cyclamenpost/placement/lookup.hpp"
+#include "cyclamenpost/relay/relay.hpp"
 
 namespace cyclamenpost {
 
--- a/src/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/event_loop.hpp"
+#include "cyclamenpost/transport/event_loop.hpp"
 
 #include <csignal>
 #include <deque>
--- a/src/event_stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenpost/event_stream.hpp"
+#include "cyclamenpost/transport/event_stream.hpp"
 
 namespace cyclamenpost {
 
--- a/src/http_detail.hpp
+++ b/src/transport/http_detail.hpp
@@ -4,7 +4,7 @@
 
 #include <libwebsockets.h>
 
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 namespace cyclamenpost::detail {
 
--- a/tests/gate_model.hpp
+++ b/tests/gate_model.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/gate.hpp"
+#include "cyclamenpost/gates/gate.hpp"
 
 namespace cyclamenpost::testing {
 
--- a/tests/unit-bus.cpp
+++ b/tests/unit-bus.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 #include <zmq.h>
 
-#include "cyclamenpost/bus.hpp"
+#include "cyclamenpost/membership/bus.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-cache_index.cpp
+++ b/tests/unit-cache_index.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/cache_index.hpp"
+#include "cyclamenpost/placement/cache_index.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-chat_table.cpp
+++ b/tests/unit-chat_table.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/chat_table.hpp"
+#include "cyclamenpost/placement/chat_table.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-config_state.cpp
+++ b/tests/unit-config_state.cpp
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include "cyclamenpost/config_state.hpp"
-#include "cyclamenpost/instance_list.hpp"
+#include "cyclamenpost/configuration/config_state.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
 #include "property.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-event_stream.cpp
+++ b/tests/unit-event_stream.cpp
@@ -2,8 +2,8 @@
 
 #include <vector>
 
-#include "cyclamenpost/event_stream.hpp"
-#include "cyclamenpost/log.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/transport/event_stream.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-file_watch.cpp
+++ b/tests/unit-file_watch.cpp
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
-#include "cyclamenpost/file_watch.hpp"
+#include "cyclamenpost/core/file_watch.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-fleet_config.cpp
+++ b/tests/unit-fleet_config.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include "cyclamenpost/fleet_config.hpp"
+#include "cyclamenpost/configuration/fleet_config.hpp"
 #include "property.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cyclamenpost/http.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-idempotency.cpp
+++ b/tests/unit-idempotency.cpp
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "cyclamenpost/idempotency.hpp"
+#include "cyclamenpost/limits/idempotency.hpp"
 #include "property.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <map>
 
-#include "cyclamenpost/limits.hpp"
+#include "cyclamenpost/limits/limits.hpp"
 #include "property.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-log_buffer.cpp
+++ b/tests/unit-log_buffer.cpp
@@ -4,8 +4,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/log_buffer.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/log_buffer.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-lookup.cpp
+++ b/tests/unit-lookup.cpp
@@ -3,7 +3,7 @@
 #include <map>
 #include <set>
 
-#include "cyclamenpost/lookup.hpp"
+#include "cyclamenpost/placement/lookup.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include "cyclamenpost/wire.hpp"
+#include "cyclamenpost/membership/wire.hpp"
 #include "virtual_fleet.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-metrics.cpp
+++ b/tests/unit-metrics.cpp
@@ -2,7 +2,7 @@
 
 #include <cmath>
 
-#include "cyclamenpost/metrics.hpp"
+#include "cyclamenpost/core/metrics.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-operator_cli.cpp
+++ b/tests/unit-operator_cli.cpp
@@ -8,8 +8,8 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
-#include "cyclamenpost/http.hpp"
-#include "cyclamenpost/operator_cli.hpp"
+#include "cyclamenpost/operator/operator_cli.hpp"
+#include "cyclamenpost/transport/http.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-orders.cpp
+++ b/tests/unit-orders.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/orders.hpp"
+#include "cyclamenpost/placement/orders.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -7,7 +7,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include "cyclamenpost/placement.hpp"
+#include "cyclamenpost/placement/placement.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-platform_client.cpp
+++ b/tests/unit-platform_client.cpp
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/config_state.hpp"
-#include "cyclamenpost/instance_list.hpp"
-#include "cyclamenpost/platform_client.hpp"
+#include "cyclamenpost/configuration/config_state.hpp"
+#include "cyclamenpost/configuration/instance_list.hpp"
+#include "cyclamenpost/configuration/platform_client.hpp"
 #include "fake_platform.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-problem.cpp
+++ b/tests/unit-problem.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "cyclamenpost/problem.hpp"
+#include "cyclamenpost/relay/problem.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-retries.cpp
+++ b/tests/unit-retries.cpp
@@ -2,7 +2,7 @@
 
 #include <deque>
 
-#include "cyclamenpost/retries.hpp"
+#include "cyclamenpost/limits/retries.hpp"
 #include "property.hpp"
 
 using namespace cyclamenpost;
--- a/tests/unit-router.cpp
+++ b/tests/unit-router.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/router.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/relay/router.hpp"
 #include "fake_application.hpp"
 #include "fake_engine.hpp"
 #include "fake_platform.hpp"
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -5,7 +5,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
-#include "cyclamenpost/settings.hpp"
+#include "cyclamenpost/configuration/settings.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/unit-supervisor.cpp
+++ b/tests/unit-supervisor.cpp
@@ -4,8 +4,8 @@
 
 #include <unistd.h>
 
-#include "cyclamenpost/log.hpp"
-#include "cyclamenpost/supervisor.hpp"
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/core/supervisor.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
--- a/tests/unit-types.cpp
+++ b/tests/unit-types.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
-#include "cyclamenpost/error.hpp"
-#include "cyclamenpost/types.hpp"
+#include "cyclamenpost/core/error.hpp"
+#include "cyclamenpost/core/types.hpp"
 
 using namespace cyclamenpost;
 
--- a/tests/virtual_fleet.hpp
+++ b/tests/virtual_fleet.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "cyclamenpost/membership.hpp"
+#include "cyclamenpost/membership/membership.hpp"
 
 namespace cyclamenpost {
 
