--- a/include/cyclamenpost/limits/retries.hpp
+++ b/include/cyclamenpost/limits/retries.hpp
@@ -22,6 +22,18 @@
     double per_second = 1.0;
 };
 
+/// Rule of the retry budget of a whole fleet.
+struct fleet_retry_rule {
+    /// Retries per request over all instances.
+    double share = 0;
+    /// Retries in the window independent of traffic, over all instances.
+    double slack = 0;
+};
+
+/// Part of the fleet's budget that one of so many instances may spend without asking the others.
+/// Seven tenths are divided; the rest covers instances that count fewer members than there are.
+auto divide_retries(const fleet_retry_rule& rule, std::size_t instances) -> retry_settings;
+
 /// First attempts and retries of the last 10 s, in buckets of one second.
 struct retry_budget {
     static constexpr std::size_t window_seconds = 10;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -23,8 +23,6 @@
 constexpr duration lapse_window = std::chrono::seconds{2};
 // a directory answer is kept half as long as allowed: some callers keep it three times as long
 constexpr int validity_divisor = 2;
-// part of the fleet's retries that instances spend; the rest covers unequal traffic
-constexpr double retry_part = 0.7;
 // strikes are kept while callers may repeat the request that crashes targets
 constexpr duration suspect_lifetime = std::chrono::seconds{60};
 
@@ -309,12 +307,8 @@
     const auto settled =
         started_ != time_point{} && monotonic_now() - started_ > settings_.settling;
     view_.members = settled ? peers_.all_ids() : std::vector<std::string>{};
-    const auto count = std::max<std::size_t>(view_.members.size(), 1);
-    constexpr double window_seconds = retry_budget::window_seconds;
-    view_.retries.share = settings_.retry_share * retry_part;
-    view_.retries.per_second =
-        settled ? settings_.retry_slack * retry_part / window_seconds / static_cast<double>(count)
-                : 0;
+    view_.retries = divide_retries({settings_.retry_share, settled ? settings_.retry_slack : 0},
+                                   view_.members.size());
 }
 
 auto entry_instance::maintain() -> void
--- a/src/limits/retries.cpp
+++ b/src/limits/retries.cpp
@@ -26,6 +26,10 @@
 // enough to hold two strikes that count besides cleared ones
 constexpr std::size_t max_strikes_per_suspect = 8;
 
+// part of the fleet's retries that instances spend; one that knows only seven tenths of the members
+// takes a tenth of the slack more than its due, which the rest of the budget covers
+constexpr double divided_retries = 0.7;
+
 constexpr auto window = std::int64_t{retry_budget::window_seconds};
 
 auto second_of(time_point now) -> std::int64_t
@@ -84,6 +88,13 @@
 
 } // namespace
 
+auto divide_retries(const fleet_retry_rule& rule, std::size_t instances) -> retry_settings
+{
+    const auto sharers = static_cast<double>(std::max<std::size_t>(instances, 1));
+    return {rule.share * divided_retries,
+            rule.slack * divided_retries / static_cast<double>(window) / sharers};
+}
+
 auto count_first_attempt(retry_budget& budget, time_point now) -> void
 {
     ++bucket_at(budget, now).first_attempts;
--- a/tests/unit-retries.cpp
+++ b/tests/unit-retries.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <vector>
 
 #include "cyclamenpost/limits/retries.hpp"
 #include "property.hpp"
@@ -75,6 +76,46 @@
         200);
 }
 
+TEST_CASE("retries of a whole fleet stay within its budget, though instances count members apart")
+{
+    check_property(
+        [] {
+            const auto rule = fleet_retry_rule{0.2, 58};
+            const auto count = static_cast<std::size_t>(*rc::gen::inRange(3, 90));
+            auto budgets = std::vector<retry_budget>(count);
+            for (auto& budget : budgets) {
+                // an instance may not have heard of three in ten others
+                const auto unknown = *rc::gen::inRange<std::size_t>(0, count * 3 / 10 + 1);
+                budget.settings = divide_retries(rule, count - unknown);
+            }
+            // a few instances get most of the requests and most failures
+            const auto busy = *rc::gen::inRange<std::size_t>(1, count + 1);
+            auto firsts = std::deque<time_point>{};
+            auto retries = std::deque<time_point>{};
+            auto now = at(0s);
+            for (auto i = 0; i < 2000; ++i) {
+                now += std::chrono::milliseconds{*rc::gen::inRange(0, 20)};
+                while (!firsts.empty() && firsts.front() <= now - 10s) {
+                    firsts.pop_front();
+                }
+                while (!retries.empty() && retries.front() <= now - 10s) {
+                    retries.pop_front();
+                }
+                auto& budget = budgets[*rc::gen::inRange<std::size_t>(0, busy)];
+                if (*rc::gen::inRange(0, 2) == 0) {
+                    count_first_attempt(budget, now);
+                    firsts.push_back(now);
+                }
+                else if (spend_retry(budget, now)) {
+                    retries.push_back(now);
+                    RC_ASSERT(static_cast<double>(retries.size()) <=
+                              rule.share * static_cast<double>(firsts.size()) + rule.slack);
+                }
+            }
+        },
+        30);
+}
+
 TEST_CASE("only repeatable calls without an answer are hedged, after p95 and before the deadline")
 {
     auto attempt = hedge_input{};
