--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -38,8 +38,8 @@
     double over_bound = 50;
     /// A prompt's first keeper above this multiple of the mean, plus the slack, is relieved by the
     /// second, if that has this many requests less.
-    double crowded_multiple = 1.3;
-    double crowded_slack = 1.5;
+    double crowded_multiple = 1.5;
+    double crowded_slack = 2.5;
     double relief_gap = 3;
 };
 
