--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -37,9 +37,11 @@
     double bound_slack = 2.5;
     double over_bound = 50;
     /// A prompt's first keeper above this multiple of the mean, plus the slack, is relieved by the
-    /// second, if that has this many requests less.
-    double crowded_multiple = 1.5;
-    double crowded_slack = 2.5;
+    /// second, if that has this many requests less. Long prompts wait longer for it, since they are
+    /// copied to the second.
+    double crowded_multiple = 1.2;
+    double crowded_slack = 1.0;
+    double crowded_slack_10k_tokens = 3.0;
     double relief_gap = 3;
 };
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -72,8 +72,10 @@
     if (first.entry == nullptr) {
         return nullptr;
     }
-    const auto crowded =
-        first.entry->load + 1 > weights.crowded_multiple * mean + weights.crowded_slack;
+    const auto crowded_from =
+        weights.crowded_multiple * mean + weights.crowded_slack +
+        weights.crowded_slack_10k_tokens * query.shared_tokens / tokens_per_unit;
+    const auto crowded = first.entry->load + 1 > crowded_from;
     const auto relieved = crowded && second.entry != nullptr &&
                           second.entry->load + weights.relief_gap < first.entry->load;
     return (relieved ? second : first).entry->place;
