Give an instance without known members no share of a cold target

Change: no known members, no share; others serve, or the request is refused with a time to return. Tests: the new case of unit-target_choice fails before (17 instead of 0; t0 instead of all_cold) and passes after.

--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -137,7 +137,8 @@
 
 /// Divides a cold target's allowance without asking anyone. Each target's allowance goes to the few
 /// instances that come first in rendezvous order over the target's id; half of it is kept back for
-/// the time in which two instances know different members.
+/// the time in which two instances know different members. An instance that knows no members yet
+/// has no share: after a restart of the whole fleet each would take all.
 auto share_of_cold(const target_settings& settings, double cold_per_second,
                    const std::string& target_id, const std::string& own_id,
                    const std::vector<std::string>& members) -> cold_share;
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -175,8 +175,11 @@
                    const std::string& target_id, const std::string& own_id,
                    const std::vector<std::string>& members) -> cold_share
 {
+    if (members.empty()) {
+        return {};
+    }
     const auto total = (cold_per_second * settings.cold_over + settings.cold_slack) * cold_used;
-    const auto sharers = std::min(cold_sharers, std::max<std::size_t>(members.size(), 1));
+    const auto sharers = std::min(cold_sharers, members.size());
     const auto own = hash64(own_id, hash64(target_id));
     const auto before = std::count_if(members.begin(), members.end(), [&](const auto& member) {
         return member != own_id && hash64(member, hash64(target_id)) > own;
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -217,6 +217,24 @@
     }
 }
 
+TEST_CASE(
+    "target_choice: an instance that does not know its members yet sends a cold target nothing")
+{
+    auto table = make_table(1);
+    CHECK(share_of_cold(table.settings, 20, "t0", "own", {}).per_second == 0);
+    auto entry = make_target("t0", "a");
+    entry.cold_for = 3s;
+    publish_target(table, entry, start);
+    const auto members = std::vector<std::string>{};
+    auto query = choice_query{};
+    query.service = "engine";
+    query.cold_per_second = 20;
+    query.own_id = "own";
+    query.members = &members;
+    CHECK(chosen_id(table, query) == "all_cold");
+    CHECK(chosen_id(table, query, start + 3s) == "t0");
+}
+
 TEST_CASE("target_choice: a cold target gets its share and no more in any second")
 {
     auto table = make_table(1);
