End the processes without static destructors

Trials on a scratch copy with marks: main returns 20 ms after the stop line, then log4cplus::deinitialize never returns; it waits for its thread pool. Ruled out: open requests, ZeroMQ's context and libwebsockets' context (each ends within 8 ms), a late flush. Change: exit_process writes the waiting lines and ends the process with quick_exit; both daemons use it.

--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -112,5 +112,5 @@
     if (!read_settings_file(options, settings, tell)) {
         return exit_usage;
     }
-    return options.check ? 0 : serve(options, settings);
+    exit_process(options.check ? 0 : serve(options, settings));
 }
--- a/daemons/cyclamenpostd.cpp
+++ b/daemons/cyclamenpostd.cpp
@@ -60,5 +60,5 @@
     if (!valid) {
         return exit_usage;
     }
-    return chosen.help_shown ? 0 : serve(chosen);
+    exit_process(chosen.help_shown ? 0 : serve(chosen));
 }
--- a/include/cyclamenpost/core/log.hpp
+++ b/include/cyclamenpost/core/log.hpp
@@ -32,6 +32,10 @@
 /// Hands waiting lines to the reader, as far as it takes them. Called now and then by the loop.
 auto flush_log() -> void;
 
+/// Writes the waiting lines and ends the process without static destructors: log4cplus waits there
+/// for its thread pool, seconds in which the instance cannot start again.
+[[noreturn]] auto exit_process(int status) -> void;
+
 /// Writes one line "event=<event> key=value ...". Values with spaces or quotes are quoted. Callers
 /// pass no tokens, message bodies or secrets.
 auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenpost/core/log.hpp"
 
 #include <cerrno>
+#include <cstdlib>
 
 #include <fcntl.h>
 #include <log4cplus/appender.h>
@@ -145,6 +146,12 @@
     }
 }
 
+auto exit_process(int status) -> void
+{
+    flush_log();
+    std::quick_exit(status);
+}
+
 auto format_event(std::string_view event, std::initializer_list<log_field> fields) -> std::string
 {
     auto line = "event=" + std::string(event);
