Write the sample configuration of tests and soak in one place

Cause: tests/entry_fixture and fakes/lib/soak_fleet built the same store entry line by line. Change: fakes/lib/sample_configuration with the values that differ as fields; both bodies stay as they were. Conclusion: one copy.

--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -10,6 +10,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "sample_configuration.hpp"
+
 namespace cyclamenpost::fakes {
 
 namespace {
@@ -42,32 +44,6 @@
     return fail(error_id::listen_failed, step::listen, "127.0.0.1", "no port is free");
 }
 
-auto route_entry(const char* name, const char* kind, const char* service, int attempts, bool prompt)
-    -> nlohmann::json
-{
-    return {{"name", name},
-            {"hostname", "soak.example"},
-            {"prefix", std::string{"/"} + name + "/"},
-            {"route_type", kind},
-            {"timeout_ms", 3000},
-            {"slo_ms", 400},
-            {"priority", 1},
-            {"backend", service},
-            {"max_attempts", attempts},
-            {"public", false},
-            {"session_affinity", prompt},
-            {"stream_resume", prompt}};
-}
-
-auto service_entry(const char* name) -> nlohmann::json
-{
-    return {{"name", name},
-            {"health_path", "/healthz"},
-            {"max_connections", 50},
-            {"cold_start_s", 0.5},
-            {"cold_per_s", 0.0}};
-}
-
 } // namespace
 
 soak_fleet::soak_fleet(event_loop& loop, soak_options options)
@@ -176,15 +152,15 @@
 
 auto soak_fleet::publish_configuration() -> void
 {
-    const auto configuration =
-        nlohmann::json{{"version", ++version_},
-                       {"routes",
-                        {route_entry("book", "non_idempotent", "app", 1, false),
-                         route_entry("read", "idempotent", "app", 2, false),
-                         route_entry("quote", "streaming", "engine", 2, true)}},
-                       {"services", {service_entry("app"), service_entry("engine")}},
-                       {"tenants", {{{"name", "buyer"}, {"api_keys", {key(), "always"}}}}}};
-    store_.put("op/config", configuration.dump());
+    auto sample = sample_configuration{};
+    sample.version = ++version_;
+    sample.host = "soak.example";
+    sample.keys = {key(), "always"};
+    sample.timeout_ms = 3000;
+    sample.max_connections = 50;
+    sample.cold_seconds = 0.5;
+    sample.limits = false;
+    store_.put("op/config", to_text(sample));
 }
 
 auto soak_fleet::key() const -> std::string
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -13,6 +13,7 @@
 
 #include "cyclamenpost/entry/entry_instance.hpp"
 #include "platform_adapter.hpp"
+#include "sample_configuration.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
 
@@ -93,42 +94,10 @@
     static auto publish_to(fakes::store_stand_in& where, int version,
                            const std::vector<std::string>& keys = {"key-1"}) -> void
     {
-        const auto route = [](const char* name, const char* kind, const char* service, int attempts,
-                              bool prompt) {
-            return nlohmann::json{{"name", name},
-                                  {"hostname", "shop.example"},
-                                  {"prefix", std::string{"/"} + name + "/"},
-                                  {"route_type", kind},
-                                  {"timeout_ms", 4000},
-                                  {"slo_ms", 400},
-                                  {"priority", 1},
-                                  {"backend", service},
-                                  {"max_attempts", attempts},
-                                  {"public", false},
-                                  {"session_affinity", prompt},
-                                  {"stream_resume", prompt}};
-        };
-        const auto service = [](const char* name) {
-            return nlohmann::json{{"name", name},
-                                  {"health_path", "/healthz"},
-                                  {"max_connections", 9},
-                                  {"cold_start_s", 1.0},
-                                  {"cold_per_s", 0.0}};
-        };
-        where.put("op/config",
-                  nlohmann::json{{"version", version},
-                                 {"routes",
-                                  {route("book", "non_idempotent", "app", 1, false),
-                                   route("read", "idempotent", "app", 2, false),
-                                   route("quote", "streaming", "engine", 2, true)}},
-                                 {"services", {service("app"), service("engine")}},
-                                 {"limits",
-                                  {{"max_header_bytes", 8192},
-                                   {"max_body_bytes", 65536},
-                                   {"header_timeout_ms", 3000},
-                                   {"idle_timeout_ms", 15000}}},
-                                 {"tenants", {{{"name", "buyer"}, {"api_keys", keys}}}}}
-                      .dump());
+        auto sample = fakes::sample_configuration{};
+        sample.version = version;
+        sample.keys = keys;
+        where.put("op/config", fakes::to_text(sample));
     }
 
     /// Starts an instance whose seed is the first one, before the usual store or another.
