Tidy the peers' header and a return that could not move

Cause: the linter refuses a const local that is returned (store_readers); the read-through found functions declared among data, a function named like its result type, and a flag that nothing read. Change: order and names only; behaviour stays.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -71,7 +71,7 @@
         -> void;
 
     /// Instances that exchange load reports with this one.
-    auto load_recipients() const -> cyclamenpost::load_recipients;
+    auto report_recipients() const -> load_recipients;
 
     /// Instances that callers may use, this one included.
     auto usable() const -> std::vector<directory_entry>;
@@ -87,21 +87,21 @@
     auto source_of(std::uint64_t revision, const std::string& seen_in) const -> std::string;
     auto take_changes(const wire::published_part& part) -> void;
     auto take_loads(const wire::envelope& message) -> void;
+    auto fetch(const std::string& from) -> void;
+    /// Tells the zone's followers that this instance reads the store, and how far it has read.
+    auto notify_zone() -> void;
     /// Ids of the live instances that have been heard, by zone.
     auto members_by_zone() const -> std::map<std::string, std::vector<std::string>>;
-    auto fetch(const std::string& from) -> void;
+    auto zone_members() const -> std::vector<std::string>;
+    /// Instances of the zone that leave the store to its readers.
+    auto zone_followers(const std::vector<std::string>& readers) const -> std::vector<std::string>;
+    auto is_reader(const std::vector<std::string>& readers) const -> bool;
 
     event_loop& loop_;
     const entry_settings& settings_;
     published_state& state_;
     peer_handlers handlers_;
     cluster_node cluster_;
-    auto zone_members() const -> std::vector<std::string>;
-    /// Instances of the zone that leave the store to its readers.
-    auto zone_followers(const std::vector<std::string>& readers) const -> std::vector<std::string>;
-    auto is_reader(const std::vector<std::string>& readers) const -> bool;
-    auto notify_zone() -> void;
-
     timer fetch_timer_;
     timer notice_timer_;
     time_point last_notice_{};
@@ -114,7 +114,6 @@
     bool fetching_ = false;
     /// Large values as they are sent, by key.
     std::map<std::string, deflated_value> deflated_;
-    bool leaving_ = false;
 };
 
 } // namespace cyclamenpost
--- a/src/entry/load_sharer.cpp
+++ b/src/entry/load_sharer.cpp
@@ -42,7 +42,7 @@
 auto load_sharer::share() -> void
 {
     const auto now = monotonic_now();
-    const auto recipients = peers_.load_recipients();
+    const auto recipients = peers_.report_recipients();
     const auto learnt = [&](report_origin farthest) {
         return loads_learnt_after(targets_, shared_until_, farthest, now);
     };
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -125,7 +125,6 @@
 
 auto peers::leave() -> void
 {
-    leaving_ = true;
     cluster_.leave();
 }
 
@@ -228,7 +227,7 @@
     }
 }
 
-auto peers::load_recipients() const -> cyclamenpost::load_recipients
+auto peers::report_recipients() const -> load_recipients
 {
     return load_recipients_of(members_by_zone(), settings_.peer_address, settings_.zone);
 }
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -38,7 +38,7 @@
         const auto known = revisions.find(id);
         return id != own_id && known != revisions.end() && known->second >= revision;
     };
-    const auto preferred = preferred_reader(readers, own_id);
+    auto preferred = preferred_reader(readers, own_id);
     if (has_read(preferred)) {
         return preferred;
     }
