Keep late copies of an answer away from the next request

Cause: an answer without an id counted as the request's own on any connection, so a late copy on a connection in use again was given to the next caller. A copy behind an answer in one packet met the next request if the owner sent it from the completion handler. Answers to skip, interim heads and trailers could follow one another without end. Change: an answer without an id is taken only on a connection without an earlier request, which is not reused then. A connection with bytes behind the answer, or with unread input, is not reused. Skipped responses end the exchange after 16 of them or 1 MB. Tests: unit-http1_client.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -122,6 +122,7 @@
         auto head = response_head{};
         head.status = status_misdirected;
         head.fields.push_back({"X-Instance-Id", id_});
+        head.fields.push_back({"X-Attempt-Id", field_text(exchange->head, "X-Attempt-Id")});
         exchange->respond(std::move(head), {});
         return;
     }
@@ -129,6 +130,7 @@
         auto head = response_head{};
         head.status = status_unavailable;
         head.fields.push_back({"X-Not-Executed", "1"});
+        head.fields.push_back({"X-Attempt-Id", field_text(exchange->head, "X-Attempt-Id")});
         exchange->respond(std::move(head), {});
         return;
     }
--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -14,8 +14,18 @@
 namespace cyclamenpost {
 
 /// Why an exchange failed: `cut_short` when the peer closed the connection before the response was
-/// complete, `garbled` when the response is not valid HTTP, the others as in `close_reason`.
-enum class exchange_failure { refused, unreachable, reset, cut_short, garbled };
+/// complete, `garbled` when the response is not valid HTTP, `head_too_large` and `too_many_skipped`
+/// when the peer sent more than the limit for a response head or for responses that do not belong
+/// to the request, the others as in `close_reason`.
+enum class exchange_failure {
+    refused,
+    unreachable,
+    reset,
+    cut_short,
+    garbled,
+    head_too_large,
+    too_many_skipped
+};
 
 inline constexpr std::array exchange_failure_names{
     enum_name<exchange_failure>{exchange_failure::refused, "refused"},
@@ -23,12 +33,21 @@
     enum_name<exchange_failure>{exchange_failure::reset, "reset"},
     enum_name<exchange_failure>{exchange_failure::cut_short, "cut_short"},
     enum_name<exchange_failure>{exchange_failure::garbled, "garbled"},
+    enum_name<exchange_failure>{exchange_failure::head_too_large, "head_too_large"},
+    enum_name<exchange_failure>{exchange_failure::too_many_skipped, "too_many_skipped"},
 };
 
+/// Whose response a response head begins: `own` of the request in progress, `other` of another
+/// request, `unidentified` when it carries no id.
+enum class response_owner { own, other, unidentified };
+
 /// Callbacks of one exchange. The owner may destroy the exchange from within any of them.
 struct exchange_handlers {
-    /// Whether a response belongs to this request; a response that does not is skipped.
-    std::function<bool(const response_head& head)> matches_request;
+    /// Tells whose response it is; without this handler each one is the request's own. A response
+    /// to another request is skipped. An unidentified one is taken for the request's own only on a
+    /// connection without an earlier request: on a reused one it may be a late copy of an earlier
+    /// response, so it is skipped too.
+    std::function<response_owner(const response_head& head)> identify;
     std::function<void(response_head& head)> on_head;
     std::function<void(std::string_view bytes)> on_body;
     /// The response has been received completely.
--- a/include/cyclamenpost/transport/tcp.hpp
+++ b/include/cyclamenpost/transport/tcp.hpp
@@ -69,6 +69,9 @@
     /// Whether the connection has been established.
     auto connected() const -> bool;
 
+    /// Whether received bytes, the peer's close or an error are waiting to be handled.
+    auto has_input() const -> bool;
+
     /// Pauses or resumes reading, so that a slow consumer applies back-pressure to the peer.
     auto set_reading(bool enabled) -> void;
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -140,9 +140,12 @@
     begin_resumed_stream(events);
 
     auto handlers = exchange_handlers{};
-    handlers.matches_request = [this](const response_head& head) {
+    handlers.identify = [this](const response_head& head) {
         const auto seen = state.codec.decode_answer(head);
-        return seen.request_id.empty() || seen.request_id == request.id;
+        if (seen.request_id.empty()) {
+            return response_owner::unidentified;
+        }
+        return seen.request_id == request.id ? response_owner::own : response_owner::other;
     };
     handlers.on_head = [this](response_head& head) { on_answer_head(head); };
     handlers.on_body = [this](std::string_view bytes) { on_answer_body(bytes); };
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -13,6 +13,10 @@
 // an idle connection is closed this long before the peer would close it
 constexpr duration keep_alive_margin = std::chrono::milliseconds{700};
 constexpr duration sweep_period = std::chrono::seconds{1};
+// interim responses and late copies of earlier responses are few and small; a peer that sends more
+// of them may go on without end
+constexpr std::size_t max_skipped_responses = 16;
+constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 
 auto failure_of(close_reason reason) -> exchange_failure
 {
@@ -68,6 +72,11 @@
     bool reused = false;
     /// The response being received does not belong to the request, or is an interim (1xx) one.
     bool skipping = false;
+    /// Responses skipped in the current exchange, and the bytes of their bodies.
+    std::size_t skipped_responses = 0;
+    std::size_t skipped_bytes = 0;
+    /// The response has been received completely, but `on_complete` has not been called yet.
+    bool response_complete = false;
     bool reusable = true;
     duration idle_limit{};
     time_point idle_since{};
@@ -77,7 +86,12 @@
     auto on_bytes(std::string_view bytes) -> void;
     auto on_closed(close_reason reason) -> void;
     auto on_head() -> void;
-    auto on_complete() -> void;
+    auto on_body(std::string_view bytes) -> void;
+    auto is_foreign(const response_head& head) const -> bool;
+    auto check_skipped() -> void;
+    /// Ends the exchange after a complete response. The connection is kept for another request
+    /// unless the peer sent further bytes.
+    auto end_exchange(bool more_bytes) -> void;
     auto fail(exchange_failure reason) -> void;
     auto drop() -> void;
     auto note_sent() -> void;
@@ -100,13 +114,8 @@
     BOOST_LEAF_ASSIGN(tcp, connect_tcp(loop, address));
     auto parser_handlers = http1_handlers{};
     parser_handlers.on_head = [this] { on_head(); };
-    parser_handlers.on_body = [this](std::string_view bytes) {
-        if (!skipping && busy && handlers.on_body) {
-            const auto receive = handlers.on_body;
-            receive(bytes);
-        }
-    };
-    parser_handlers.on_complete = [this] { on_complete(); };
+    parser_handlers.on_body = [this](std::string_view bytes) { on_body(bytes); };
+    parser_handlers.on_complete = [this] { response_complete = busy && !skipping; };
     parser = std::make_unique<http1_parser>(http1_parser::kind::response,
                                             std::move(parser_handlers), max_response_header_bytes);
     auto events = tcp_handlers{};
@@ -127,6 +136,9 @@
     handlers = std::move(events);
     busy = true;
     skipping = false;
+    skipped_responses = 0;
+    skipped_bytes = 0;
+    response_complete = false;
     ++exchange_number;
     sent_bytes_before = tcp.sent_bytes();
     has_sent = false;
@@ -144,15 +156,20 @@
             drop();
             return;
         }
-        const auto used = parser->parse(bytes);
+        bytes.remove_prefix(parser->parse(bytes));
         if (parser->failure() != parse_failure::none) {
-            fail(exchange_failure::garbled);
+            fail(parser->failure() == parse_failure::header_too_large
+                     ? exchange_failure::head_too_large
+                     : exchange_failure::garbled);
             return;
         }
         if (!tcp) {
             return;
         }
-        bytes.remove_prefix(used);
+        if (std::exchange(response_complete, false)) {
+            end_exchange(!bytes.empty());
+            return;
+        }
     }
 }
 
@@ -168,19 +185,33 @@
     reusable = false;
     if (!complete || parser->finish()) {
         fail(failure_of(reason));
+        return;
+    }
+    if (std::exchange(response_complete, false)) {
+        end_exchange(false);
     }
 }
 
+auto client_connection::is_foreign(const response_head& head) const -> bool
+{
+    const auto owner = handlers.identify ? handlers.identify(head) : response_owner::own;
+    return owner == response_owner::other || (owner == response_owner::unidentified && reused);
+}
+
 auto client_connection::on_head() -> void
 {
     auto& head = parser->response();
-    skipping = head.status / 100 == 1 || !busy ||
-               (handlers.matches_request && !handlers.matches_request(head));
+    const auto interim = head.status / 100 == 1;
+    skipping = interim || !busy || is_foreign(head);
     if (skipping) {
-        reusable = reusable && head.status / 100 == 1;
+        reusable = reusable && interim;
+        ++skipped_responses;
+        check_skipped();
         return;
     }
-    reusable = reusable && head.keep_alive && !head.until_close;
+    // a late copy of an unidentified response could not be told from the next request's own
+    const auto identified = !handlers.identify || handlers.identify(head) == response_owner::own;
+    reusable = reusable && head.keep_alive && !head.until_close && identified;
     if (const auto seconds = keep_alive_seconds(head.fields)) {
         idle_limit =
             std::min<duration>(idle_limit, std::chrono::seconds{*seconds} - keep_alive_margin);
@@ -191,16 +222,36 @@
     }
 }
 
-auto client_connection::on_complete() -> void
+auto client_connection::on_body(std::string_view bytes) -> void
 {
-    if (skipping || !busy) {
+    if (skipping) {
+        skipped_bytes += bytes.size();
+        check_skipped();
         return;
     }
+    if (busy && handlers.on_body) {
+        const auto receive = handlers.on_body;
+        receive(bytes);
+    }
+}
+
+auto client_connection::check_skipped() -> void
+{
+    if (skipped_responses > max_skipped_responses || skipped_bytes > max_skipped_bytes) {
+        fail(exchange_failure::too_many_skipped);
+    }
+}
+
+auto client_connection::end_exchange(bool more_bytes) -> void
+{
     busy = false;
     const auto events = std::exchange(handlers, {});
     const auto owner = pool.lock();
-    const auto keep =
-        owner && reusable && tcp && tcp.unsent_bytes() == 0 && idle_limit > duration::zero();
+    if (owner && more_bytes) {
+        ++owner->counters.unsolicited_responses;
+    }
+    const auto keep = owner && reusable && !more_bytes && tcp && tcp.unsent_bytes() == 0 &&
+                      idle_limit > duration::zero();
     if (keep) {
         idle_since = monotonic_now();
         owner->keep(shared_from_this());
@@ -245,7 +296,9 @@
     while (found != idle.end() && !found->second.empty()) {
         auto connection = std::move(found->second.back());
         found->second.pop_back();
-        if (connection->tcp && now - connection->idle_since < connection->idle_limit) {
+        // pending input is a close that has not been handled yet, or a late copy of a response
+        if (connection->tcp && now - connection->idle_since < connection->idle_limit &&
+            !connection->tcp.has_input()) {
             return connection;
         }
         connection->tcp.close();
--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -380,6 +380,16 @@
     return *this && !state_->connecting;
 }
 
+auto tcp_connection::has_input() const -> bool
+{
+    if (!connected()) {
+        return false;
+    }
+    auto byte = char{};
+    const auto count = recv(state_->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || !would_block(errno);
+}
+
 auto tcp_connection::set_reading(bool enabled) -> void
 {
     if (*this) {
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -47,6 +47,7 @@
     bool complete = false;
     std::optional<exchange_failure> failed;
     bool sent_when_failed = false;
+    std::function<void()> when_complete;
 
     auto send(http1_client& client, const std::string& address, const std::string& id) -> void
     {
@@ -56,12 +57,21 @@
         request.head.target = "/work";
         request.body = "body";
         auto handlers = exchange_handlers{};
-        handlers.matches_request = [id](const response_head& head) {
-            return find_field(head.fields, "Id").value_or(id) == id;
+        handlers.identify = [id](const response_head& head) {
+            const auto found = find_field(head.fields, "Id");
+            if (!found) {
+                return response_owner::unidentified;
+            }
+            return *found == id ? response_owner::own : response_owner::other;
         };
         handlers.on_head = [this](response_head& head) { status = head.status; };
         handlers.on_body = [this](std::string_view bytes) { body += bytes; };
-        handlers.on_complete = [this] { complete = true; };
+        handlers.on_complete = [this] {
+            complete = true;
+            if (when_complete) {
+                when_complete();
+            }
+        };
         handlers.on_failed = [this](exchange_failure reason) {
             failed = reason;
             sent_when_failed = exchange.sent();
@@ -96,6 +106,36 @@
     {
         REQUIRE(loop.run_until([&] { return call.ended(); }, limit));
     }
+
+    /// Completes the first request and sends a second one on its connection.
+    auto begin_second(observed_call& second) -> tcp_connection&
+    {
+        begin().send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        wait();
+        received.clear();
+        second.send(client, address, "b");
+        REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+        REQUIRE(second.exchange.reused());
+        return accepted.back();
+    }
+
+    /// Sends the bytes again and again until the client ends the call; at most 64 MB.
+    auto send_until_end(tcp_connection& peer, const std::string& bytes) -> void
+    {
+        constexpr auto most = std::size_t{64} << 20U;
+        constexpr auto most_unsent = std::size_t{256} << 10U;
+        auto sent = std::size_t{0};
+        REQUIRE(loop.run_until(
+            [&] {
+                while (!call.ended() && sent < most && peer.unsent_bytes() < most_unsent) {
+                    peer.send(bytes);
+                    sent += bytes.size();
+                }
+                return call.ended() || sent >= most;
+            },
+            limit));
+        REQUIRE(call.ended());
+    }
 };
 
 } // namespace
@@ -174,15 +214,131 @@
 }
 
 TEST_CASE_FIXTURE(call_test, "http1_client: an idle connection is reused")
+{
+    auto second = observed_call{};
+    begin_second(second);
+    CHECK(accepted.size() == 1);
+    CHECK(second.exchange.reused());
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: a late copy without an id does not answer the next "
+                             "request on a reused connection")
+{
+    auto second = observed_call{};
+    begin_second(second);
+    auto& peer = accepted.front();
+    const auto copy = std::string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"};
+    const auto own = std::string{"HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 5\r\n\r\nright"};
+    SUBCASE("in one packet with the own response")
+    {
+        peer.send(copy + own);
+    }
+    SUBCASE("head and body apart")
+    {
+        peer.send(copy.substr(0, copy.size() - 5));
+        // a round trip on another connection lets the client read the head first
+        auto barrier = observed_call{};
+        received.clear();
+        barrier.send(client, address, "x");
+        REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+        accepted.front().send("wrong");
+        accepted.front().send(own);
+    }
+    REQUIRE(loop.run_until([&] { return second.ended(); }, limit));
+    CHECK(second.complete);
+    CHECK(second.body == "right");
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: a late copy behind the own response closes the "
+                             "connection before the next request can use it")
+{
+    auto second = observed_call{};
+    auto& peer = begin_second(second);
+    auto third = observed_call{};
+    // the owner may send its next request as soon as it is told of the end of this one
+    second.when_complete = [&] { third.send(client, address, "c"); };
+    received.clear();
+    peer.send("HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 5\r\n\r\nright"
+              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+    REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+    CHECK(second.body == "right");
+    CHECK(accepted.size() == 2);
+    CHECK(third.body.empty());
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: a connection whose response carries no id is not "
+                             "reused")
 {
     begin().send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     wait();
-    received.clear();
+    CHECK(call.complete);
     auto second = observed_call{};
     second.send(client, address, "b");
-    REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
-    CHECK(accepted.size() == 1);
-    CHECK(second.exchange.reused());
+    CHECK(loop.run_until([&] { return accepted.size() == 2; }, limit));
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: an idle connection with a copy that is still unread is "
+                             "not reused")
+{
+    begin().send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+    wait();
+    // the loop does not run between the copy's arrival and the next request
+    accepted.back().send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    auto second = observed_call{};
+    second.send(client, address, "b");
+    CHECK_FALSE(second.exchange.reused());
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: a peer that sends heads without end is given up")
+{
+    auto& peer = begin();
+    SUBCASE("one head")
+    {
+        peer.send("HTTP/1.1 200 OK\r\n");
+        send_until_end(peer, "X: " + std::string(1000, 'x') + "\r\n");
+        CHECK(call.failed == exchange_failure::head_too_large);
+    }
+    SUBCASE("a status line")
+    {
+        peer.send("HTTP/1.1 200 ");
+        send_until_end(peer, std::string(1000, 'x'));
+        CHECK(call.failed == exchange_failure::head_too_large);
+    }
+    SUBCASE("interim responses")
+    {
+        send_until_end(peer, "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n");
+        CHECK(call.failed == exchange_failure::too_many_skipped);
+    }
+    SUBCASE("trailer fields")
+    {
+        peer.send("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        send_until_end(peer, "X: " + std::string(1000, 'x') + "\r\n");
+        CHECK(call.failed == exchange_failure::head_too_large);
+    }
+    SUBCASE("a chunk extension")
+    {
+        peer.send("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+        send_until_end(peer, std::string(1000, 'x'));
+        CHECK(call.failed == exchange_failure::head_too_large);
+    }
+    CHECK(call.sent_when_failed);
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: a peer that sends responses to others without end is "
+                             "given up")
+{
+    auto& peer = begin();
+    SUBCASE("small ones")
+    {
+        send_until_end(peer, "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\n\r\nx");
+    }
+    SUBCASE("a body that does not end")
+    {
+        peer.send("HTTP/1.1 200 OK\r\nId: x\r\n\r\n");
+        send_until_end(peer, std::string(10'000, 'x'));
+    }
+    CHECK(call.failed == exchange_failure::too_many_skipped);
+    CHECK(call.sent_when_failed);
 }
 
 TEST_CASE_FIXTURE(call_test, "http1_client: bytes that are not HTTP are reported as garbled")
