Answer what was received when a planned stop or a slow caller ends a connection

Cause: a stop closed connections on which a request lay unread in the socket or behind the request in progress, reset connections that were established but not accepted, and closed at once after the last response, so that unread bytes reset the connection and with it the response. A caller could send a body, or leave its answer unread, without end. Change: a drain closes a connection only when nothing received is left to answer; the listener accepts what is pending before it closes; the own end is closed first and the connection when the caller has closed its end or after 1 s. A body must arrive at 500 bytes/s after 20 s, and an answer of which nothing is read for 15 s is cut. Tests: unit-http1_server (six cases).

--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -23,8 +23,19 @@
     duration header_timeout = std::chrono::seconds{3};
     /// Time after which a connection without a request is closed.
     duration idle_timeout = std::chrono::seconds{15};
+    /// Time limit from the first byte of a request to the end of its body, plus the time that the
+    /// body's bytes take at `min_body_bytes_per_second`.
+    duration body_timeout = std::chrono::seconds{20};
+    std::size_t min_body_bytes_per_second = 500;
+    /// Time after which a connection is closed whose peer reads none of the bytes sent to it.
+    duration write_timeout = std::chrono::seconds{15};
 };
 
+/// Time from the first byte of a request within which its head has to be complete, or, once it is,
+/// the request of which `body_bytes` of the body have been received.
+auto request_time_limit(const server_limits& limits, bool head_complete, std::size_t body_bytes)
+    -> duration;
+
 /// A completely received request and the means to respond to it. Destroying it before the response
 /// is complete closes the connection.
 class server_exchange {
@@ -96,13 +107,15 @@
     /// Replaces the limits. The header size limit applies to new connections only.
     auto set_limits(server_limits limits) -> void;
 
-    /// Closes each connection after its next response, which carries "Connection: close".
+    /// Closes each connection after its next response, which carries "Connection: close", unless
+    /// the caller has sent more: then after the response to what it has sent.
     auto begin_drain() -> void;
 
-    /// Stops accepting connections and closes those without a request in progress.
+    /// Accepts the connections that callers have established, stops accepting others, and closes
+    /// those on which nothing was received that has to be answered. May be called repeatedly.
     auto stop_listening() -> void;
 
-    /// Number of connections on which a request is being read or answered.
+    /// Number of connections on which a request was received, is being read or is being answered.
     auto busy_connections() const -> std::size_t;
 
     /// Number of open connections.
--- a/include/cyclamenpost/transport/tcp.hpp
+++ b/include/cyclamenpost/transport/tcp.hpp
@@ -75,6 +75,10 @@
     /// Pauses or resumes reading, so that a slow consumer applies back-pressure to the peer.
     auto set_reading(bool enabled) -> void;
 
+    /// Closes the sending direction; the peer sees the end after the bytes sent so far. Call it
+    /// when `unsent_bytes` is 0.
+    auto finish_sending() -> void;
+
     /// Closes the connection. No handler is called afterwards.
     auto close() -> void;
 
@@ -108,7 +112,10 @@
                      std::function<void(tcp_connection, std::string peer)> on_accept)
         -> result<tcp_listener>;
 
-    /// Stops listening.
+    /// Accepts the connections that are established but not accepted yet.
+    auto accept_pending() -> void;
+
+    /// Stops listening. Connections that are not accepted yet are reset.
     auto close() -> void;
 
     /// The port it listens on.
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -1,5 +1,6 @@
 #include "cyclamenpost/transport/http1_server.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -9,9 +10,23 @@
 
 // resolution of the header and idle timeouts
 constexpr duration sweep_period = std::chrono::milliseconds{250};
+// time for the caller to read the last response and close its end; closing at once would reset the
+// connection if bytes of the caller are unread, and the response could be lost
+constexpr duration linger_time = std::chrono::seconds{1};
 
 } // namespace
 
+auto request_time_limit(const server_limits& limits, bool head_complete, std::size_t body_bytes)
+    -> duration
+{
+    if (!head_complete) {
+        return limits.header_timeout;
+    }
+    const auto rate = std::max<std::size_t>(limits.min_body_bytes_per_second, 1);
+    return limits.body_timeout +
+           std::chrono::duration_cast<duration>(std::chrono::seconds{1}) * body_bytes / rate;
+}
+
 namespace detail {
 
 struct http1_server_state {
@@ -43,6 +58,12 @@
     bool closing = false;
     time_point first_byte_at{};
     time_point idle_since{};
+    /// The last response was sent and the own end is closed; the caller's bytes are discarded.
+    bool lingering = false;
+    time_point linger_since{};
+    /// Bytes sent when the connection was last seen to make progress.
+    std::uint64_t sent_bytes = 0;
+    time_point sent_since{};
 
     auto open() -> void;
     auto on_bytes(std::string_view bytes) -> void;
@@ -53,12 +74,23 @@
     auto on_closed() -> void;
     auto reject(int status) -> void;
     auto next_request() -> void;
+    /// Closes the own end after the last response, and the connection when the caller has done so.
+    auto close_after_response() -> void;
     auto close() -> void;
+    auto is_overdue(const server_limits& limits, time_point now) const -> bool;
+    auto is_stalled(const server_limits& limits, time_point now) -> bool;
+
+    /// Whether bytes of a further request were received.
+    auto has_received_more() const -> bool
+    {
+        return !closing && (!unparsed.empty() || tcp.has_input());
+    }
 
-    /// Whether a request is being read or answered.
+    /// Whether a request was received, is being read or is being answered.
     auto is_busy() const -> bool
     {
-        return answering != nullptr || parser->in_message() || tcp.unsent_bytes() > 0;
+        return answering != nullptr || tcp.unsent_bytes() > 0 ||
+               (!closing && parser->in_message()) || has_received_more();
     }
 };
 
@@ -83,7 +115,7 @@
             answering->on_sent();
         }
         else if (closing && answering == nullptr) {
-            close();
+            close_after_response();
         }
     };
     events.on_closed = [this](close_reason) {
@@ -200,7 +232,7 @@
     tcp.send(write_response_head(head, body_framing::length, 0));
     closing = true;
     if (tcp.unsent_bytes() == 0) {
-        close();
+        close_after_response();
     }
 }
 
@@ -211,7 +243,7 @@
     if (!keep_alive) {
         closing = true;
         if (tcp.unsent_bytes() == 0) {
-            close();
+            close_after_response();
         }
         return;
     }
@@ -227,6 +259,37 @@
     }
 }
 
+auto server_connection::close_after_response() -> void
+{
+    if (std::exchange(lingering, true)) {
+        return;
+    }
+    linger_since = monotonic_now();
+    unparsed.clear();
+    tcp.finish_sending();
+    tcp.set_reading(true);
+}
+
+/// Whether the caller takes too long to send a request.
+auto server_connection::is_overdue(const server_limits& limits, time_point now) const -> bool
+{
+    if (answering != nullptr || closing || !parser->in_message()) {
+        return false;
+    }
+    return now - first_byte_at > request_time_limit(limits, head_complete, body.size());
+}
+
+/// Whether the caller has read nothing of the bytes for it for too long.
+auto server_connection::is_stalled(const server_limits& limits, time_point now) -> bool
+{
+    if (tcp.unsent_bytes() == 0 || tcp.sent_bytes() != sent_bytes) {
+        sent_bytes = tcp.sent_bytes();
+        sent_since = now;
+        return false;
+    }
+    return now - sent_since > limits.write_timeout;
+}
+
 auto server_connection::close() -> void
 {
     closing = true;
@@ -240,28 +303,25 @@
 auto http1_server_state::sweep() -> void
 {
     const auto now = monotonic_now();
-    auto idle = std::vector<std::shared_ptr<server_connection>>{};
-    auto timed_out = std::vector<std::shared_ptr<server_connection>>{};
-    for (const auto& connection : connections) {
-        if (connection->answering != nullptr || connection->closing) {
-            continue;
+    // a connection may leave the set while it is handled
+    const auto open = connections;
+    for (const auto& connection : open) {
+        const auto idle = connection->answering == nullptr && !connection->closing &&
+                          !connection->parser->in_message() &&
+                          now - connection->idle_since > limits.idle_timeout;
+        const auto lingered = connection->lingering && now - connection->linger_since > linger_time;
+        if (connection->is_overdue(limits, now)) {
+            constexpr auto request_timeout = 408;
+            connection->reject(request_timeout);
         }
-        const auto reading = connection->parser->in_message();
-        if (reading && !connection->head_complete &&
-            now - connection->first_byte_at > limits.header_timeout) {
-            timed_out.push_back(connection);
+        else if (connection->is_stalled(limits, now)) {
+            connection->tcp.reset();
+            connection->on_closed();
         }
-        if (!reading && now - connection->idle_since > limits.idle_timeout) {
-            idle.push_back(connection);
+        else if (lingered || (idle && !connection->tcp.has_input())) {
+            connection->close();
         }
     }
-    for (const auto& connection : timed_out) {
-        constexpr auto request_timeout = 408;
-        connection->reject(request_timeout);
-    }
-    for (const auto& connection : idle) {
-        connection->close();
-    }
 }
 
 } // namespace detail
@@ -284,8 +344,8 @@
     }
     answered_ = true;
     const auto owner = connection_->server.lock();
-    connection_->keep_alive =
-        connection_->keep_alive && response.keep_alive && owner && !owner->draining;
+    const auto last = !owner || (owner->draining && !connection_->has_received_more());
+    connection_->keep_alive = connection_->keep_alive && response.keep_alive && !last;
     response.keep_alive = connection_->keep_alive;
     auto text = write_response_head(response, body_framing::length, content.size());
     if (head.method != "HEAD") {
@@ -301,7 +361,8 @@
         return;
     }
     const auto owner = connection_->server.lock();
-    connection_->keep_alive = connection_->keep_alive && owner && !owner->draining;
+    const auto last = !owner || (owner->draining && !connection_->has_received_more());
+    connection_->keep_alive = connection_->keep_alive && !last;
     response.keep_alive = connection_->keep_alive;
     connection_->tcp.send(write_response_head(response, body_framing::chunked, 0));
 }
@@ -403,10 +464,11 @@
 
 auto http1_server::stop_listening() -> void
 {
+    state_->listener.accept_pending();
     state_->listener.close();
     const auto open = state_->connections;
     for (const auto& connection : open) {
-        if (!connection->is_busy()) {
+        if (!connection->is_busy() && !connection->lingering) {
             connection->close();
         }
     }
--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -48,7 +48,8 @@
     std::function<void(tcp_connection, std::string)> on_accept;
     std::shared_ptr<tcp_listener_state> self;
 
-    auto accept_all() -> void;
+    /// Accepts connections up to a limit. Returns whether the limit was reached.
+    auto accept_some() -> bool;
 };
 
 } // namespace detail
@@ -170,7 +171,7 @@
         state->self.reset();
     }
     if (reason == LWS_CALLBACK_RAW_RX_FILE) {
-        state->accept_all();
+        state->accept_some();
     }
     return 0;
 }
@@ -289,7 +290,7 @@
     }
 }
 
-auto tcp_listener_state::accept_all() -> void
+auto tcp_listener_state::accept_some() -> bool
 {
     for (auto count = 0; count < max_accepts_per_iteration && wsi != nullptr; ++count) {
         auto peer = sockaddr_in{};
@@ -297,7 +298,7 @@
         const auto accepted = accept4(descriptor, reinterpret_cast<sockaddr*>(&peer), &size,
                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted < 0) {
-            return;
+            return false;
         }
         set_socket_options(accepted);
         auto state = std::make_shared<tcp_state>();
@@ -314,6 +315,7 @@
         on_accept(tcp_connection{std::move(state)},
                   std::string{text.data()} + ":" + std::to_string(ntohs(peer.sin_port)));
     }
+    return wsi != nullptr;
 }
 
 } // namespace detail
@@ -397,6 +399,13 @@
     }
 }
 
+auto tcp_connection::finish_sending() -> void
+{
+    if (*this) {
+        shutdown(state_->descriptor, SHUT_WR);
+    }
+}
+
 auto tcp_connection::close() -> void
 {
     if (state_) {
@@ -466,6 +475,12 @@
     close();
 }
 
+auto tcp_listener::accept_pending() -> void
+{
+    while (state_ && state_->wsi != nullptr && state_->accept_some()) {
+    }
+}
+
 auto tcp_listener::close() -> void
 {
     if (state_ && state_->wsi != nullptr) {
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -1,4 +1,12 @@
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "cyclamenpost/transport/http1_server.hpp"
 
@@ -41,6 +49,8 @@
         chosen.max_body_bytes = 100;
         chosen.header_timeout = std::chrono::milliseconds{300};
         chosen.idle_timeout = std::chrono::seconds{60};
+        chosen.body_timeout = std::chrono::milliseconds{300};
+        chosen.write_timeout = std::chrono::milliseconds{500};
         return chosen;
     }
 
@@ -63,6 +73,20 @@
 
 constexpr auto simple_request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// Connects a blocking socket to the port and sends the bytes, without the loop.
+auto connect_and_send(int port, std::string_view bytes) -> int
+{
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto peer = sockaddr_in{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(static_cast<std::uint16_t>(port));
+    peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(descriptor, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0);
+    REQUIRE(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+    return descriptor;
+}
+
 auto status_head(int status) -> response_head
 {
     auto head = response_head{};
@@ -134,6 +158,12 @@
         caller.send("GET / HTTP/1.1\r\nX: ");
         wait_for("HTTP/1.1 408");
     }
+    SUBCASE("body that never ends, a byte now and then")
+    {
+        caller.send("POST / HTTP/1.1\r\nContent-Length: 90\r\n\r\n");
+        const auto drip = loop.call_every(std::chrono::milliseconds{50}, [&] { caller.send("x"); });
+        wait_for("HTTP/1.1 408");
+    }
     wait_for_end();
     CHECK(requests.empty());
 }
@@ -175,3 +205,104 @@
                  [](const error& failure) { MESSAGE(describe(failure)); }));
     CHECK(address.ends_with(std::to_string(server.port())));
 }
+
+TEST_CASE("http1_server: a body may take long if its bytes go on arriving at the least rate")
+{
+    using namespace std::chrono_literals;
+    auto limits = server_limits{};
+    limits.header_timeout = 3s;
+    limits.body_timeout = 20s;
+    limits.min_body_bytes_per_second = 500;
+    CHECK(request_time_limit(limits, false, 0) == 3s);
+    CHECK(request_time_limit(limits, true, 0) == 20s);
+    CHECK(request_time_limit(limits, true, 1'000'000) == 2020s);
+    CHECK(request_time_limit(limits, true, 50) == 20'100ms);
+}
+
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a caller that reads nothing of its answer is disconnected")
+{
+    send_and_wait(simple_request, 1);
+    auto cancelled = false;
+    requests[0]->on_cancelled = [&] { cancelled = true; };
+    caller.set_reading(false);
+    requests[0]->begin_stream(status_head(200));
+    const auto piece = std::string(1 << 16, 'x');
+    while (requests[0]->unsent_bytes() < std::size_t{1} << 20U) {
+        requests[0]->write(piece);
+    }
+    CHECK(loop.run_until([&] { return cancelled; }, limit));
+    CHECK(server.open_connections() == 0);
+}
+
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: requests received before a drain are all answered during it")
+{
+    send_and_wait(std::string{simple_request} + simple_request, 1);
+    server.begin_drain();
+    server.stop_listening();
+    requests[0]->respond(status_head(200), "first");
+    CHECK(server.busy_connections() == 1);
+    server.stop_listening();
+    REQUIRE(loop.run_until([&] { return requests.size() == 2; }, limit));
+    requests[1]->respond(status_head(200), "second");
+    wait_for("second");
+    wait_for_end();
+    CHECK(closed == close_reason::finished);
+}
+
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a request that was sent but not read yet is answered in a drain")
+{
+    send_and_wait(simple_request, 1);
+    requests[0]->respond(status_head(200), "first");
+    wait_for("first");
+    server.begin_drain();
+    // the loop does not run between the request's arrival and the end of listening
+    caller.send(simple_request);
+    CHECK(server.busy_connections() == 1);
+    server.stop_listening();
+    REQUIRE(loop.run_until([&] { return requests.size() == 2 || closed; }, limit));
+    REQUIRE(requests.size() == 2);
+    requests[1]->respond(status_head(200), "second");
+    wait_for("second");
+}
+
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a connection that waits to be accepted is served in a drain")
+{
+    REQUIRE(loop.run_until([&] { return server.open_connections() == 1; }, limit));
+    const auto descriptor = connect_and_send(server.port(), simple_request);
+    server.begin_drain();
+    server.stop_listening();
+    CHECK(loop.run_until([&] { return requests.size() == 1; }, limit));
+    ::close(descriptor);
+}
+
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: the last response is not lost to bytes that arrive behind it")
+{
+    const auto descriptor = connect_and_send(server.port(), simple_request);
+    REQUIRE(loop.run_until([&] { return requests.size() == 1; }, limit));
+    server.begin_drain();
+    requests[0]->respond(status_head(200), std::string(100'000, 'y'));
+    // the caller goes on sending before it has read the response
+    ::send(descriptor, simple_request, std::strlen(simple_request), MSG_NOSIGNAL);
+    auto answer = std::string{};
+    auto ended = ssize_t{-1};
+    REQUIRE(loop.run_until(
+        [&] {
+            auto buffer = std::array<char, 4096>{};
+            const auto count = ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (count > 0) {
+                answer.append(buffer.data(), static_cast<std::size_t>(count));
+            }
+            const auto waiting = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            ended = waiting ? 1 : count;
+            return ended <= 0;
+        },
+        limit));
+    CHECK(ended == 0);
+    CHECK(answer.ends_with("yyy"));
+    ::close(descriptor);
+}
