Tell the truth about answers that are lost, stalled, encoded or without end

Cause, found by reading: a target's word that it has not run a request was passed on although an earlier target may have run it; a target's own 503, 429 or 408 without that word reached callers as a promise; a body with a content encoding was passed on; after the first byte nothing but the time limit watched an answer; a silent target was given up even when the retry budget forbade another; an incomplete event, the sum of all buffered answers, the store's answers and inflated peer messages had no bound, and the search for the end of an event began anew at each read. Change: such refusals become 502; encoded answers count as lost; an answer that begins makes progress by whole events with data, or by 1 KB, and one that stalls for half of the caller's patience moves to another target if it may, never otherwise; events end at 256 KB, answers at a sixteenth and all of them together at a quarter of the machine's memory, beyond 64 KB each; the store's answers end at 8 MB, a listing at 32 MB and at pages that do not ascend; requests unfinished at the end of the grace time get 503 or 504 instead of a closed connection.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -14,6 +14,8 @@
 constexpr auto status_unavailable = 503;
 constexpr std::uint64_t cut_event_number = 3;
 constexpr std::size_t cut_event_bytes = 3;
+constexpr std::size_t max_unsent_bytes = std::size_t{256} << 10U;
+constexpr std::size_t endless_line_bytes = 16'000;
 
 auto field_text(const request_head& head, std::string_view name) -> std::string
 {
@@ -109,6 +111,9 @@
     auto head = response_head{};
     head.status = status;
     head.fields.push_back({"X-Attempt-Id", field_text(current.exchange->head, "X-Attempt-Id")});
+    if (mode_ == target_mode::encoded) {
+        head.fields.push_back({"Content-Encoding", "gzip"});
+    }
     if (mode_ != target_mode::no_receipt) {
         head.fields.push_back({"X-Server-Seal", "seal-" + id_});
     }
@@ -157,7 +162,18 @@
         end_run(current);
         return;
     }
-    if (!find_field(current.exchange->head.fields, "X-Prompt-Prefix")) {
+    if (mode_ == target_mode::unproven_refusal) {
+        current.exchange->respond(head_for(current, status_unavailable), {});
+        end_run(current);
+        return;
+    }
+    const auto streams = find_field(current.exchange->head.fields, "X-Prompt-Prefix").has_value();
+    if (mode_ == target_mode::endless && !streams) {
+        current.exchange->begin_stream(head_for(current, status_ok));
+        send_without_end(current, std::string(endless_line_bytes, 'x'));
+        return;
+    }
+    if (!streams) {
         current.exchange->respond(head_for(current, status_ok),
                                   "answer of " + id_ + " to " + current.exchange->body);
         end_run(current);
@@ -181,6 +197,15 @@
         end_run(current);
         return;
     }
+    if (mode_ == target_mode::endless) {
+        send_without_end(current, "data: " + std::string(endless_line_bytes, 'x') + "\n");
+        return;
+    }
+    constexpr auto first_stalled_event = std::uint64_t{2};
+    if (mode_ == target_mode::stalling && current.event == first_stalled_event) {
+        send_without_end(current, ":\n\n");
+        return;
+    }
     if (current.event > events_per_stream) {
         current.exchange->finish();
         end_run(current);
@@ -192,6 +217,16 @@
         loop_.call_after(delay_ + duration{1}, [this, entry] { send_event(*entry); });
 }
 
+auto fake_target::send_without_end(run& current, const std::string& bytes) -> void
+{
+    if (current.exchange->unsent_bytes() < max_unsent_bytes) {
+        current.exchange->write(bytes);
+    }
+    auto* entry = &current;
+    current.next_step = loop_.call_after(delay_ + duration{1},
+                                         [this, entry, bytes] { send_without_end(*entry, bytes); });
+}
+
 auto fake_target::end_run(const run& current) -> void
 {
     current.exchange->on_cancelled = nullptr;
--- a/fakes/lib/fake_target.hpp
+++ b/fakes/lib/fake_target.hpp
@@ -25,6 +25,14 @@
     cut_stream,
     /// Answers without the X-Server-Seal header; such an answer is not trusted.
     no_receipt,
+    /// Sends the first event of a stream, then a byte of a comment now and then.
+    stalling,
+    /// Sends bytes of an event, or of a plain answer, without end.
+    endless,
+    /// Answers with a Content-Encoding header.
+    encoded,
+    /// Runs the request and answers 503 without X-Not-Executed.
+    unproven_refusal,
 };
 
 inline constexpr std::array target_mode_names{
@@ -35,6 +43,10 @@
     enum_name<target_mode>{target_mode::failing, "failing"},
     enum_name<target_mode>{target_mode::cut_stream, "cut_stream"},
     enum_name<target_mode>{target_mode::no_receipt, "no_receipt"},
+    enum_name<target_mode>{target_mode::stalling, "stalling"},
+    enum_name<target_mode>{target_mode::endless, "endless"},
+    enum_name<target_mode>{target_mode::encoded, "encoded"},
+    enum_name<target_mode>{target_mode::unproven_refusal, "unproven_refusal"},
 };
 
 /// A fake target of the platform. It answers with text, or with a stream of numbered events when
@@ -87,6 +99,8 @@
     auto serve(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto answer(run& current) -> void;
     auto send_event(run& current) -> void;
+    /// Sends the bytes again and again while the caller reads them.
+    auto send_without_end(run& current, const std::string& bytes) -> void;
     auto end_run(const run& current) -> void;
     auto head_for(const run& current, int status) const -> response_head;
 
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -26,6 +26,8 @@
     /// Listen address of the metrics endpoint; empty for none.
     std::string metrics_address;
     unsigned max_connections = 1024;
+    /// Memory that the process may use, in bytes.
+    std::size_t memory_bytes = std::size_t{256} << 20U;
 
     /// Time after a start until the member list counts as complete; joining takes one or two
     /// probes. Until then cold targets get no requests and the retry slack is 0.
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -31,8 +31,15 @@
     std::size_t max_prompt_entries = 8192;
     /// Largest answer that is buffered whole, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} << 20U;
+    /// Largest event of a stream, in bytes.
+    std::size_t max_event_bytes = std::size_t{256} << 10U;
+    /// Bytes of answers that all requests may buffer together.
+    std::size_t max_buffered_bytes = std::size_t{64} << 20U;
 };
 
+/// Buffer limits for a process that may use `memory_bytes`.
+auto forwarder_settings_for(std::size_t memory_bytes) -> forwarder_settings;
+
 /// The request path: finds route, organisation and target of each request, forwards the request and
 /// returns the answer. Owns the connections to the targets.
 class forwarder {
@@ -49,6 +56,9 @@
     /// Number of requests without a final answer.
     auto running() const -> std::size_t;
 
+    /// Ends all requests: those that certainly have not run are refused, the others get an error.
+    auto end_all() -> void;
+
     /// Sets the function that reports a target's crash during a request to the other instances.
     auto on_crash_report(std::function<void(const crash_report&)> broadcast) -> void;
 
--- a/include/cyclamenpost/entry/platform_codec.hpp
+++ b/include/cyclamenpost/entry/platform_codec.hpp
@@ -63,6 +63,8 @@
     /// The target states that it did not execute the request.
     bool not_executed = false;
     bool event_stream = false;
+    /// The body has a content encoding, which callers do not ask for; it is not the target's own.
+    bool encoded = false;
     std::optional<target_load_report> load;
     /// Time for which the target remains cold.
     std::optional<duration> cold_remaining;
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -71,7 +71,10 @@
     auto on_changes() -> void;
     auto call(const request_head& head, duration timeout, void (store_reader::*on_answer)())
         -> void;
+    auto add_body(std::string_view bytes) -> void;
     auto handle_failure(std::string_view cause) -> void;
+    /// Starts the listing anew after an answer that cannot be used.
+    auto fail_listing(std::string_view cause) -> void;
     auto set_available(bool now_available, std::string_view cause) -> void;
 
     event_loop& loop_;
@@ -82,6 +85,8 @@
     http1_client client_;
     client_exchange exchange_;
     std::string body_;
+    /// Bytes of all answers of the listing in progress.
+    std::size_t listing_bytes_ = 0;
     int status_ = 0;
     timer timeout_timer_;
     timer next_call_timer_;
--- a/include/cyclamenpost/routing/route_table.hpp
+++ b/include/cyclamenpost/routing/route_table.hpp
@@ -37,6 +37,8 @@
     duration timeout = std::chrono::seconds{10};
     /// Latency objective of an answer, or of a stream's first event.
     duration latency_objective = std::chrono::seconds{1};
+    /// Longest pause between two events of a stream that is on time; 0 when not stated.
+    duration event_gap_objective{};
     /// Most targets at which one request may run.
     std::uint32_t max_attempts = 1;
     /// 0 is the highest priority.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -73,7 +73,7 @@
       store_(loop, codec_, {settings_.store_address}, state_, {[this](const changed_keys& keys) {
                  on_changed(keys, store_.may_have_lapsed(store_return_window, monotonic_now()));
              }}),
-      forwarder_(loop, codec_, view_, {}, metrics_),
+      forwarder_(loop, codec_, view_, forwarder_settings_for(settings_.memory_bytes), metrics_),
       front_(loop, {},
              [this](std::shared_ptr<server_exchange> exchange) {
                  forwarder_.handle(std::move(exchange));
@@ -393,7 +393,8 @@
 {
     const auto waited = monotonic_now() - shutdown_begun_;
     const auto idle = forwarder_.running() == 0 && front_.busy_connections() == 0;
-    if (waited > listening_time && !std::exchange(view_.rejecting_requests, true)) {
+    if (waited > listening_time) {
+        view_.rejecting_requests = true;
         front_.stop_listening();
     }
     const auto done =
@@ -407,6 +408,7 @@
          {"waited_ms",
           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())}});
     shutdown_timer_.reset();
+    forwarder_.end_all();
     supervisor_.stop();
     on_end_(0);
 }
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -12,6 +12,8 @@
 constexpr auto service_unavailable = 503;
 constexpr auto gateway_timeout = 504;
 constexpr auto misdirected = 421;
+constexpr auto request_timeout = 408;
+constexpr auto too_many_requests = 429;
 constexpr auto server_error = 500;
 
 // a request waits for an eligible target for this fraction of its latency objective; one that waits
@@ -22,9 +24,28 @@
 // latency objectives, since a silent target rarely recovers before the caller's deadline
 constexpr int silence_factor = 2;
 constexpr duration min_silence = std::chrono::milliseconds{1000};
+// callers leave a stream after the longest of these: a fixed time, a multiple of the latency
+// objective, and a multiple of the pause between events that is on time
+constexpr duration min_caller_patience = std::chrono::seconds{2};
+constexpr int patience_objectives = 4;
+constexpr int patience_gaps = 8;
+// a stalled answer is moved to another target after this part of the caller's patience, which
+// leaves the rest for the other target's first event
+constexpr int stall_divisor = 2;
+// second look at a stalled answer: input that waited while this process was paused is read first
+constexpr duration second_look_delay = std::chrono::milliseconds{50};
+// an answer without events that grows by less than this between two looks makes no progress
+constexpr std::uint64_t min_progress_bytes = 1024;
 // an answer about a missed deadline is sent this long before the request's time limit ends
 constexpr duration reply_margin = std::chrono::milliseconds{20};
 
+/// Whether callers take the status for a promise that the request has not run and never will.
+auto promises_not_run(int status) -> bool
+{
+    return status == service_unavailable || status == too_many_requests ||
+           status == request_timeout || status == misdirected;
+}
+
 auto milliseconds_text(duration span) -> std::string
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -130,6 +151,7 @@
     answer = {};
     answer_head = {};
     answer_body.clear();
+    hold_bytes(state.buffered, held_bytes, 0);
     head_seen = false;
     streaming_events = false;
     attempt_begun = now;
@@ -200,20 +222,62 @@
         attempt_timer = call_later(silence - waited, &forward_job::on_attempt_timeout);
         return;
     }
-    if (head_seen || !repeatable(*matched_route) || !has_untried_target() ||
-        runs + 1 >= matched_route->max_attempts) {
+    if (!can_move_elsewhere()) {
+        attempt_timer = call_later(silence, &forward_job::on_attempt_timeout);
         return;
     }
+    break_off("silent");
+}
+
+auto forward_job::can_move_elsewhere() -> bool
+{
+    return repeatable(*matched_route) && runs + 1 < matched_route->max_attempts &&
+           retries_left(state.view.retry_budgets[service->name], monotonic_now()) > 0 &&
+           has_untried_target();
+}
+
+auto forward_job::break_off(std::string_view cause) -> void
+{
+    const auto self = shared_from_this();
     attempt.cancel();
     ++runs;
-    end_attempt(attempt_end::lost, target_outcome::failed, "silent");
+    end_attempt(attempt_end::lost, target_outcome::failed, cause);
+}
+
+auto forward_job::note_progress() -> void
+{
+    const auto reached = streaming_events ? events.passed : answer_body.size();
+    const auto least = streaming_events ? 1 : min_progress_bytes;
+    if (reached >= progress + least) {
+        progress = reached;
+        last_progress = monotonic_now();
+        looked_stalled = false;
+    }
+}
+
+auto forward_job::watch_progress() -> void
+{
+    const auto limit = stall_timeout();
+    const auto stalled = monotonic_now() - last_progress;
+    if (paused || stalled < limit || !can_move_elsewhere()) {
+        const auto next = stalled < limit ? limit - stalled : limit;
+        attempt_timer = call_later(next, &forward_job::watch_progress);
+        return;
+    }
+    if (!std::exchange(looked_stalled, true)) {
+        attempt_timer = call_later(second_look_delay, &forward_job::watch_progress);
+        return;
+    }
+    break_off("stalled");
 }
 
 auto forward_job::on_answer_head(response_head& head) -> void
 {
     head_seen = true;
-    attempt_timer.reset();
     first_byte_at = monotonic_now();
+    last_progress = first_byte_at;
+    looked_stalled = false;
+    attempt_timer = call_later(stall_timeout(), &forward_job::watch_progress);
     answer = state.codec.decode_answer(head);
     answer_head = head;
     const auto found = state.view.targets.targets.find(target_id);
@@ -227,7 +291,8 @@
         }
     }
     const auto success = head.status / 100 == 2;
-    streaming_events = success && answer.event_stream && answer.has_receipt;
+    streaming_events = success && answer.event_stream && answer.has_receipt && !answer.encoded;
+    progress = streaming_events ? events.passed : 0;
     if (streaming_events && affinity != 0) {
         state.last_prompt_targets.record(to_hex(affinity), target_id, first_byte_at);
     }
@@ -245,11 +310,13 @@
         return;
     }
     answer_body += bytes;
+    note_progress();
     if (answer_body.size() > state.settings.max_answer_bytes) {
-        const auto self = shared_from_this();
-        attempt.cancel();
-        ++runs;
-        end_attempt(attempt_end::lost, target_outcome::failed, "answer_too_large");
+        break_off("answer_too_large");
+        return;
+    }
+    if (!hold_bytes(state.buffered, held_bytes, answer_body.size())) {
+        break_off("buffers_full");
     }
 }
 
@@ -257,11 +324,13 @@
 {
     const auto whole = filter_events(events, bytes);
     exchange->write(whole);
-    if (events.gap) {
-        const auto self = shared_from_this();
-        attempt.cancel();
-        ++runs;
-        end_attempt(attempt_end::lost, target_outcome::failed, "event_gap");
+    note_progress();
+    if (events.gap || events.oversized) {
+        break_off(events.gap ? "event_gap" : "event_too_large");
+        return;
+    }
+    if (!hold_bytes(state.buffered, held_bytes, events.partial.size())) {
+        break_off("buffers_full");
         return;
     }
     if (!paused && exchange->unsent_bytes() > state.settings.max_unsent_bytes) {
@@ -291,8 +360,14 @@
         return;
     }
     ++runs;
-    if (success && !answer.has_receipt) {
-        end_attempt(attempt_end::lost, target_outcome::failed, "no_receipt");
+    if (success && (!answer.has_receipt || answer.encoded)) {
+        end_attempt(attempt_end::lost, target_outcome::failed,
+                    answer.has_receipt ? "encoded" : "no_receipt");
+        return;
+    }
+    if (promises_not_run(answer_head.status)) {
+        // the target does not say that it has not run the request, but callers would read it so
+        end_attempt(attempt_end::lost, target_outcome::failed, "unproven_refusal");
         return;
     }
     if (success && exchange->answer_started()) {
@@ -367,6 +442,14 @@
     return std::max<duration>(matched_route->latency_objective * silence_factor, min_silence);
 }
 
+auto forward_job::stall_timeout() const -> duration
+{
+    const auto patience =
+        std::max({min_caller_patience, matched_route->latency_objective * patience_objectives,
+                  matched_route->event_gap_objective * patience_gaps});
+    return patience / stall_divisor;
+}
+
 auto forward_job::has_untried_target() -> bool
 {
     return choose_target(state.view.targets, query_targets(), state.weights, monotonic_now())
@@ -466,6 +549,11 @@
 }
 
 auto forward_job::on_deadline() -> void
+{
+    abandon("time_over");
+}
+
+auto forward_job::abandon(std::string_view cause) -> void
 {
     const auto self = shared_from_this();
     const auto may_have_run = in_flight && attempt.sent();
@@ -475,10 +563,10 @@
     }
     release_target(target_outcome::cancelled);
     if (runs > 0 || exchange->answer_started()) {
-        give_up(gateway_timeout, "time_over");
+        give_up(gateway_timeout, cause);
         return;
     }
-    refuse("time_over");
+    refuse(cause);
 }
 
 auto forward_job::on_caller_gone() -> void
@@ -561,6 +649,7 @@
     attempt_timer.reset();
     wait_timer.reset();
     attempt.cancel();
+    hold_bytes(state.buffered, held_bytes, 0);
     state.jobs.erase(shared_from_this());
 }
 
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -9,6 +9,7 @@
 
 #include "cyclamenpost/core/log_buffer.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
+#include "cyclamenpost/limits/byte_budget.hpp"
 #include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/attempts.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
@@ -27,6 +28,8 @@
     std::mt19937_64 random;
     /// Target that last processed each prompt that this instance has forwarded.
     chat_table last_prompt_targets;
+    /// Bytes of answers that the requests have buffered.
+    byte_budget buffered;
     std::set<std::shared_ptr<detail::forward_job>> jobs;
     std::function<void(const crash_report&)> broadcast_crash_report;
     line_sampler sampler;
@@ -66,6 +69,12 @@
     bool head_seen = false;
     bool in_flight = false;
     bool streaming_events = false;
+    /// When the answer last grew by a whole event, or by a minimum of bytes without events.
+    time_point last_progress{};
+    /// Length of the answer's body, or number of its events, at that time.
+    std::uint64_t progress = 0;
+    /// The answer was found stalled once; it counts as stalled if the next look finds no progress.
+    bool looked_stalled = false;
 
     // all attempts
     /// Ids of the targets that have been tried.
@@ -75,6 +84,8 @@
     /// Attempts in which the target may have executed the request.
     std::uint32_t runs = 0;
     event_filter events;
+    /// Bytes that this request has in `state.buffered`.
+    std::size_t held_bytes = 0;
     bool finished = false;
     /// Reading from the target is paused until the caller has received what is buffered.
     bool paused = false;
@@ -99,6 +110,11 @@
     /// The connection was not established in time, or the target has not answered in time.
     auto on_attempt_timeout() -> void;
     auto on_deadline() -> void;
+    /// Ends the request without a target's answer: refuses it if it certainly has not run.
+    auto abandon(std::string_view cause) -> void;
+    /// Looks whether the answer that has begun still makes progress.
+    auto watch_progress() -> void;
+    auto note_progress() -> void;
     auto on_caller_gone() -> void;
     /// Records the end of the attempt and takes the next step: answer, retry, refuse or give up.
     auto end_attempt(attempt_end end, target_outcome health, std::string_view cause) -> void;
@@ -120,6 +136,11 @@
     auto finish(int status, std::string_view outcome_name, std::string_view cause) -> void;
     auto query_targets() const -> choice_query;
     auto silence_timeout() const -> duration;
+    auto stall_timeout() const -> duration;
+    /// Whether the request may be moved from its target, which still has it, to another one.
+    auto can_move_elsewhere() -> bool;
+    /// Cancels the attempt because its answer cannot be used, and takes the next step.
+    auto break_off(std::string_view cause) -> void;
     auto has_untried_target() -> bool;
     auto spend_retry_for_service() -> bool;
     auto time_left() const -> duration;
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenpost/entry/forwarder.hpp"
 
+#include <algorithm>
+
 #include "cyclamenpost/core/log.hpp"
 #include "forward_job.hpp"
 
@@ -16,6 +18,10 @@
 constexpr duration shutdown_retry_after = std::chrono::milliseconds{20};
 // Retry-After while no configuration has been read; a start takes about this long
 constexpr duration startup_retry_after = std::chrono::milliseconds{500};
+// parts of the process's memory that buffered answers may take, together and each; the rest is for
+// connections, callers' requests and published state
+constexpr std::size_t buffered_memory_divisor = 4;
+constexpr std::size_t answer_memory_divisor = 16;
 
 auto reject_request(const platform_codec& codec, server_exchange& exchange, int status,
                     duration retry_after, const request_metadata& request, std::string_view cause)
@@ -54,6 +60,16 @@
 
 } // namespace
 
+auto forwarder_settings_for(std::size_t memory_bytes) -> forwarder_settings
+{
+    auto chosen = forwarder_settings{};
+    chosen.max_buffered_bytes = memory_bytes / buffered_memory_divisor;
+    chosen.max_answer_bytes =
+        std::min(chosen.max_answer_bytes, memory_bytes / answer_memory_divisor);
+    chosen.max_event_bytes = std::min(chosen.max_event_bytes, chosen.max_answer_bytes);
+    return chosen;
+}
+
 forwarder::forwarder(event_loop& loop, const platform_codec& codec, fleet_view& view,
                      forwarder_settings settings, metric_registry& metrics)
     : state_(new state{
@@ -66,6 +82,7 @@
           {},
           std::mt19937_64{hash64(view.own_id, static_cast<std::uint64_t>(wall_clock_ms()))},
           chat_table{settings.max_prompt_entries},
+          {settings.max_buffered_bytes},
           {},
           {},
           {}})
@@ -84,6 +101,14 @@
     return state_->jobs.size();
 }
 
+auto forwarder::end_all() -> void
+{
+    const auto unfinished = state_->jobs;
+    for (const auto& job : unfinished) {
+        job->abandon("stopping");
+    }
+}
+
 auto forwarder::on_crash_report(std::function<void(const crash_report&)> broadcast) -> void
 {
     state_->broadcast_crash_report = std::move(broadcast);
@@ -131,6 +156,7 @@
     job->priority =
         caller != nullptr && caller->priority ? *caller->priority : matched_route->priority;
     read_prompt(*job);
+    job->events.max_event_bytes = state_->settings.max_event_bytes;
     state_->jobs.insert(job);
     job->start();
 }
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -385,8 +385,13 @@
     auto complete = part.last();
     for (const auto& change : part.changes()) {
         const auto uncompressed = change.inflated_bytes() == 0;
-        auto value = uncompressed ? std::optional{change.value()}
-                                  : inflate_bytes(change.value(), change.inflated_bytes());
+        auto value = std::optional<std::string>{};
+        if (uncompressed) {
+            value = change.value();
+        }
+        else if (change.inflated_bytes() <= max_message_bytes) {
+            value = inflate_bytes(change.value(), change.inflated_bytes());
+        }
         if (!value) {
             log_event(log_level::warning, "change_unreadable", {{"key", change.key()}});
             complete = false;
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -13,6 +13,10 @@
 // removed entries kept for peers that lag behind
 constexpr std::size_t max_kept_removals = 2000;
 constexpr duration idle_timeout = std::chrono::seconds{30};
+// the store limits a page to about 1 MB of items, and an item to 1 MB, before its encoding
+constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
+// far above what targets and configuration of the largest fleet take
+constexpr std::size_t max_listing_bytes = std::size_t{32} << 20U;
 
 } // namespace
 
@@ -90,7 +94,7 @@
     request.head = head;
     auto handlers = exchange_handlers{};
     handlers.on_head = [this](response_head& answer) { status_ = answer.status; };
-    handlers.on_body = [this](std::string_view bytes) { body_ += bytes; };
+    handlers.on_body = [this](std::string_view bytes) { add_body(bytes); };
     handlers.on_complete = [this, on_answer] {
         timeout_timer_.reset();
         (this->*on_answer)();
@@ -120,10 +124,29 @@
     });
 }
 
+auto store_reader::add_body(std::string_view bytes) -> void
+{
+    body_ += bytes;
+    if (body_.size() > max_answer_bytes) {
+        exchange_.cancel();
+        timeout_timer_.reset();
+        fail_listing("answer_too_large");
+    }
+}
+
+auto store_reader::fail_listing(std::string_view cause) -> void
+{
+    body_.clear();
+    page_after_.clear();
+    listed_items_.clear();
+    handle_failure(cause);
+}
+
 auto store_reader::list_page() -> void
 {
     if (page_after_.empty()) {
         listed_items_.clear();
+        listing_bytes_ = 0;
     }
     call(codec_.list_request(codec_.store_prefixes[prefix_index_], page_after_),
          settings_.answer_timeout, &store_reader::on_listing);
@@ -133,8 +156,17 @@
 {
     const auto page = status_ == ok ? codec_.decode_listing(body_) : std::nullopt;
     if (!page) {
-        page_after_.clear();
-        handle_failure("status_" + std::to_string(status_));
+        fail_listing("status_" + std::to_string(status_));
+        return;
+    }
+    listing_bytes_ += body_.size();
+    if (listing_bytes_ > max_listing_bytes) {
+        fail_listing("listing_too_large");
+        return;
+    }
+    // a page that does not go on behind the one before would be read without end
+    if (!page_after_.empty() && !page->items.empty() && page->items.back().key <= page_after_) {
+        fail_listing("pages_not_ascending");
         return;
     }
     set_available(true, "listed");
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -46,8 +46,10 @@
     switch (context.end) {
     case attempt_end::answered:
     case attempt_end::target_error:
-    case attempt_end::not_executed:
         return next_step::pass_answer;
+    case attempt_end::not_executed:
+        // the target speaks for itself only; an earlier one may have run the request
+        return context.runs == 0 ? next_step::pass_answer : next_step::give_up;
     case attempt_end::not_sent:
     case attempt_end::lost:
         return context.runs == 0 ? next_step::refuse : next_step::give_up;
--- a/src/routing/event_filter.cpp
+++ b/src/routing/event_filter.cpp
@@ -1,20 +1,33 @@
 #include "cyclamenpost/routing/event_filter.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cyclamenpost {
 
 namespace {
 
-/// Length of the first complete event including the empty line that ends it; 0 without one.
-auto first_event_size(std::string_view text) -> std::size_t
+/// Length of the first complete event including the empty line that ends it; 0 without one. The
+/// first `searched` bytes are known to contain no end of an event.
+auto first_event_size(std::string_view text, std::size_t searched) -> std::size_t
 {
-    const auto lf_end = text.find("\n\n");
-    const auto crlf_end = text.find("\r\n\r\n");
-    if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-        return 0;
+    for (auto end = text.find('\n', searched); end != std::string_view::npos;
+         end = text.find('\n', end + 1)) {
+        const auto rest = text.substr(end + 1);
+        if (rest.starts_with('\n')) {
+            return end + 2;
+        }
+        if (rest.starts_with("\r\n")) {
+            return end + 3;
+        }
     }
-    return crlf_end < lf_end ? crlf_end + 4 : lf_end + 2;
+    return 0;
+}
+
+/// Whether one of the event's lines is a data field; an event without one is a comment.
+auto has_data(std::string_view event) -> bool
+{
+    return event.starts_with("data") || event.find("\ndata") != std::string_view::npos;
 }
 
 auto event_id(std::string_view event) -> std::optional<std::uint64_t>
@@ -43,13 +56,17 @@
 
 auto filter_events(event_filter& filter, std::string_view bytes) -> std::string
 {
+    // the line end that precedes an empty line may have been the last one or two bytes
+    constexpr auto overlap = std::size_t{2};
+    auto searched = filter.partial.size() - std::min(filter.partial.size(), overlap);
     filter.partial += bytes;
     auto complete = std::string{};
     auto rest = std::string_view{filter.partial};
-    for (auto size = first_event_size(rest); size > 0 && !filter.gap;
-         size = first_event_size(rest)) {
+    for (auto size = first_event_size(rest, searched); size > 0 && !filter.gap;
+         size = first_event_size(rest, searched)) {
         const auto event = rest.substr(0, size);
         rest.remove_prefix(size);
+        searched = 0;
         const auto id = event_id(event);
         if (id && filter.last_event && *id <= *filter.last_event) {
             continue;
@@ -61,10 +78,11 @@
         if (id) {
             filter.last_event = id;
         }
-        ++filter.passed;
+        filter.passed += has_data(event) ? 1 : 0;
         complete += event;
     }
     filter.partial.erase(0, filter.partial.size() - rest.size());
+    filter.oversized = filter.oversized || filter.partial.size() > filter.max_event_bytes;
     return complete;
 }
 
--- a/tests/unit-attempts.cpp
+++ b/tests/unit-attempts.cpp
@@ -48,6 +48,15 @@
     CHECK(decide_next_step(context) == next_step::pass_answer);
 }
 
+TEST_CASE(
+    "attempts: a target's word that it has not run a request does not speak for an earlier one")
+{
+    auto context = context_after(attempt_end::not_executed, true);
+    context.runs = 1;
+    context.target_available = false;
+    CHECK(decide_next_step(context) == next_step::give_up);
+}
+
 TEST_CASE("attempts: a repeatable request runs at most at its route's number of targets")
 {
     auto context = context_after(attempt_end::lost, true);
@@ -79,6 +88,8 @@
         }
         const auto next = decide_next_step(context);
         RC_ASSERT(!(next == next_step::refuse && context.runs > 0));
+        RC_ASSERT(!(next == next_step::pass_answer && context.runs > 0 &&
+                    context.end == attempt_end::not_executed));
         RC_ASSERT(!(next == next_step::retry && context.runs > 0 && !context.repeatable));
     }));
 }
--- a/tests/unit-event_filter.cpp
+++ b/tests/unit-event_filter.cpp
@@ -73,3 +73,41 @@
     auto filter = event_filter{};
     CHECK(filter_events(filter, "id: 1\r\ndata: x\r\n\r\nid: 2\r\n") == "id: 1\r\ndata: x\r\n\r\n");
 }
+
+TEST_CASE("event_filter: bytes without the end of an event are bounded and searched once")
+{
+    auto filter = event_filter{};
+    const auto line = "data: " + std::string(16'000, 'x') + "\n";
+    auto received = std::size_t{0};
+    while (!filter.oversized && received < std::size_t{64} << 20U) {
+        filter_events(filter, line);
+        received += line.size();
+    }
+    CHECK(filter.oversized);
+    CHECK(filter.partial.size() <= filter.max_event_bytes + line.size());
+}
+
+TEST_CASE("event_filter: the end of an event is found wherever the bytes are divided")
+{
+    const auto text =
+        std::string{"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\r\nid: 3\ndata: d\n\n"};
+    for (auto first = std::size_t{0}; first <= text.size(); ++first) {
+        for (auto second = first; second <= text.size(); ++second) {
+            auto filter = event_filter{};
+            auto forwarded = filter_events(filter, text.substr(0, first));
+            forwarded += filter_events(filter, text.substr(first, second - first));
+            forwarded += filter_events(filter, text.substr(second));
+            REQUIRE(forwarded == text);
+            REQUIRE(filter.passed == 3);
+        }
+    }
+}
+
+TEST_CASE("event_filter: comments are forwarded but do not count as events")
+{
+    auto filter = event_filter{};
+    CHECK(filter_events(filter, ": keep-alive\n\n") == ": keep-alive\n\n");
+    CHECK(filter.passed == 0);
+    filter_events(filter, event(1));
+    CHECK(filter.passed == 1);
+}
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -220,3 +220,102 @@
     CHECK(call.head.status == 421);
     CHECK(runs_of("b1") == 0);
 }
+
+TEST_CASE_FIXTURE(one_instance, "forwarder: a stream that stalls is resumed at another target, "
+                                "although the first goes on sending bytes")
+{
+    const auto first = ask("/quote/1");
+    REQUIRE(first.complete);
+    auto& stalling = engine_1.run_counts().empty() ? engine_2 : engine_1;
+    stalling.set_mode(target_mode::stalling);
+    stalling.set_delay(std::chrono::milliseconds{20});
+    const auto call = ask("/quote/2", 0, "key-1", "q2");
+    CHECK(call.complete);
+    auto pieces = std::string{};
+    for (auto rest = std::string_view{call.body}; !rest.empty();) {
+        const auto end = rest.find("\n\n") + 2;
+        pieces += rest.starts_with(':') ? std::string_view{} : rest.substr(0, end);
+        rest.remove_prefix(end);
+    }
+    CHECK(pieces == whole_stream());
+    CHECK(runs_of("q2") == 2);
+    CHECK(stalling.running_requests() == 0);
+}
+
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: a stream that cannot move elsewhere is not cut before its deadline")
+{
+    set_engines(target_mode::stalling);
+    engine_1.set_delay(std::chrono::milliseconds{20});
+    engine_2.set_delay(std::chrono::milliseconds{20});
+    auto call = caller_call{};
+    send(call, "/quote/1", 0, "key-1", "q1");
+    wait([&] { return runs_of("q1") == 2; });
+    CHECK_FALSE(call.ended());
+    // both targets recover; the second one goes on with its stream
+    set_engines(target_mode::normal);
+    wait([&] { return call.ended(); });
+    CHECK(call.complete);
+}
+
+TEST_CASE_FIXTURE(one_instance, "forwarder: an event without end ends the attempt within its bound")
+{
+    set_engines(target_mode::endless);
+    auto call = caller_call{};
+    send(call, "/quote/1", 0, "key-1", "q1");
+    auto others = 0;
+    wait([&] {
+        // other requests are served meanwhile
+        if (others < 5) {
+            ++others;
+            CHECK(ask("/read/" + std::to_string(others)).head.status == 200);
+        }
+        return call.ended();
+    });
+    CHECK_FALSE(call.complete);
+    CHECK(call.body.size() <= forwarder_settings{}.max_event_bytes);
+    wait([&] { return engine_1.running_requests() + engine_2.running_requests() == 0; });
+    CHECK(runs_of("q1") == 2);
+}
+
+TEST_CASE_FIXTURE(one_instance, "forwarder: a plain answer without end is given up at its bound")
+{
+    set_apps(target_mode::endless);
+    const auto call = ask("/book/1", 0, "key-1", "b1");
+    CHECK(call.head.status == 502);
+    CHECK(runs_of("b1") == 1);
+    wait([&] { return app_1.running_requests() + app_2.running_requests() == 0; });
+}
+
+TEST_CASE_FIXTURE(one_instance,
+                  "forwarder: an answer with a content encoding is not the target's own")
+{
+    set_apps(target_mode::encoded);
+    CHECK(ask("/book/1").head.status == 502);
+    set_engines(target_mode::encoded);
+    const auto call = ask("/quote/1");
+    CHECK((!call.complete || call.head.status == 502));
+}
+
+TEST_CASE_FIXTURE(one_instance, "forwarder: a target's 503 that does not say that the request has "
+                                "not run does not reach the caller as a refusal")
+{
+    set_apps(target_mode::unproven_refusal);
+    const auto call = ask("/book/1", 0, "key-1", "b1");
+    CHECK(call.head.status == 502);
+    CHECK(runs_of("b1") == 1);
+}
+
+TEST_CASE_FIXTURE(one_instance, "forwarder: a request whose answer was lost is not refused because "
+                                "the next target has not run it")
+{
+    const auto first = ask("/read/1");
+    REQUIRE(first.head.status == 200);
+    auto& losing = app_1.run_counts().empty() ? app_2 : app_1;
+    auto& full = app_1.run_counts().empty() ? app_1 : app_2;
+    losing.set_mode(target_mode::answer_lost);
+    full.set_mode(target_mode::full);
+    const auto call = ask("/read/2", 0, "key-1", "r-lost");
+    CHECK(call.head.status == (runs_of("r-lost") > 0 ? 502 : 503));
+    CHECK(runs_of("r-lost") == 1);
+}
