Take requests after a start only when a peer's state is known to be current

Cause, found by reading: an instance that cannot read the store after a restart took requests as soon as any peer had sent its state. A peer that had lost the store itself could send targets that have left and keys that were withdrawn meanwhile, which the instance's predecessor knew of. Change: requests are refused with 503 until the store was listed, or until the state has reached the highest revision announced and a reader of the store has sent its own, or 2.5 s have passed in which instances announce theirs; after 6 s what can be had is used. Tests: unit-store_readers.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -58,6 +58,8 @@
     auto apply_target(const std::string& id, const published_item& item, bool lapsing) -> void;
     auto apply_zone_evacuation(const std::string& zone, bool evacuated) -> void;
     auto announce_if_ready() -> void;
+    /// Takes requests once enough is known since the start.
+    auto check_knowledge() -> void;
     auto answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto answer_readiness_or_directory(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto refresh_members() -> void;
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -20,8 +20,9 @@
     /// Null before the first configuration.
     std::shared_ptr<const route_table> routes;
     target_table targets;
-    /// The target list has been read at least once.
-    bool targets_known = false;
+    /// The targets are known, and nothing known may be older than what the instance knew before a
+    /// restart (`knows_enough`). Until then requests are refused.
+    bool up_to_date = false;
     /// Ids of all known instances, this one included; empty until the membership has settled.
     std::vector<std::string> members;
     /// Retry budgets by service.
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "cyclamenpost/routing/directory.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
+#include "cyclamenpost/routing/store_readers.hpp"
 
 namespace cyclamenpost {
 
@@ -78,6 +80,9 @@
     /// Instances to which this one sends load reports.
     auto load_report_recipients() const -> load_recipients;
 
+    /// What the other instances have announced of the store since the start.
+    auto announced() const -> start_knowledge;
+
     /// Instances that callers may use, this one included, for directory answers.
     auto directory_entries() const -> std::vector<directory_entry>;
 
@@ -116,6 +121,10 @@
     std::uint64_t seeds_version_ = 0;
     /// Last revision of the store announced by each instance.
     std::map<std::string, std::uint64_t> revisions_;
+    /// When the first revision was announced.
+    std::optional<time_point> first_announced_;
+    /// Highest revision announced until a reader's notice came or `announcement_time` was over.
+    std::uint64_t newest_announced_ = 0;
     /// The last fetch has not been answered completely.
     bool fetching_ = false;
     /// Compressed large values by key.
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -50,6 +50,9 @@
     /// completes.
     auto set_active(bool active) -> void;
 
+    /// Whether the store's whole listing has been read since the start.
+    auto has_listed() const -> bool;
+
     /// Whether this instance reads the store and its last call was answered.
     auto available() const -> bool;
 
@@ -91,6 +94,7 @@
     timer timeout_timer_;
     timer next_call_timer_;
     bool listed_ = false;
+    bool has_listed_ = false;
     std::size_t prefix_index_ = 0;
     std::string page_after_;
     std::uint64_t listing_revision_ = 0;
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -45,4 +45,30 @@
                    const std::map<std::string, std::uint64_t>& revisions, std::string_view own_id,
                    std::uint64_t revision, const std::string& seen_in) -> std::string;
 
+/// What an instance has learned since its start.
+struct start_knowledge {
+    /// It has read the store's whole listing itself.
+    bool listed_store = false;
+    /// Revision up to which it knows the store; 0 when it knows nothing.
+    std::uint64_t revision = 0;
+    /// Highest revision that other instances announced to it before `heard_reader`, or before the
+    /// time for announcements was over.
+    std::uint64_t newest_announced = 0;
+    /// An instance that reads the store has sent it a notice.
+    bool heard_reader = false;
+    /// Time since it first heard of a revision from another instance.
+    duration since_first_announced{};
+};
+
+/// Time in which instances that are ahead of a new one announce their revision to it.
+inline constexpr duration announcement_time = std::chrono::milliseconds{2500};
+
+/// Whether a new instance knows enough to take requests. A listing is never older than what its
+/// predecessor knew. A peer's state may be: the peer may have lost the store long ago, and still
+/// list targets that have left and keys that were withdrawn. It is used only once it has reached
+/// the highest revision announced, and either a reader of the store has sent its own or all
+/// instances had time to announce theirs. An instance that is ahead may have died since; then the
+/// state that can be had is used after a longer time.
+auto knows_enough(const start_knowledge& known) -> bool;
+
 } // namespace cyclamenpost
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -178,7 +178,7 @@
 
 auto entry_instance::ready() const -> bool
 {
-    return view_.routes && view_.targets_known && !view_.draining;
+    return view_.routes && view_.up_to_date && !view_.draining;
 }
 
 auto entry_instance::reads_store() const -> bool
@@ -210,10 +210,15 @@
             apply_item(found->second, lapsing);
         }
     }
-    if (state_.revision > 0) {
-        view_.targets_known = true;
-    }
     peers_.announce_revision(std::exchange(announced_revision_, state_.revision));
+    check_knowledge();
+}
+
+auto entry_instance::check_knowledge() -> void
+{
+    auto known = peers_.announced();
+    known.listed_store = store_.has_listed();
+    view_.up_to_date = view_.up_to_date || knows_enough(known);
     announce_if_ready();
 }
 
@@ -320,6 +325,7 @@
 {
     const auto now = monotonic_now();
     refresh_members();
+    check_knowledge();
     store_.set_active(peers_.reads_store());
     purge_removed_targets(view_.targets, now);
     expire_crash_reports(view_.suspects, now);
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -119,9 +119,9 @@
     auto& view = state_->view;
     const auto& codec = state_->codec;
     auto request = codec.decode_request(exchange->head);
-    if (!view.routes) {
+    if (!view.routes || !view.up_to_date) {
         reject_request(codec, *exchange, service_unavailable, startup_retry_after, request,
-                       "no_configuration");
+                       view.routes ? "not_up_to_date" : "no_configuration");
         return;
     }
     if (view.rejecting_requests) {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -257,8 +257,27 @@
     return ids;
 }
 
+auto peers::announced() const -> start_knowledge
+{
+    auto known = start_knowledge{};
+    known.revision = state_.revision;
+    known.newest_announced = newest_announced_;
+    known.heard_reader = last_notice_ != time_point{};
+    known.since_first_announced =
+        first_announced_ ? monotonic_now() - *first_announced_ : duration::zero();
+    return known;
+}
+
 auto peers::on_revision_seen(const peer_config_version& seen) -> void
 {
+    const auto now = monotonic_now();
+    if (!first_announced_ && seen.version > 0) {
+        first_announced_ = now;
+    }
+    if (last_notice_ == time_point{} && first_announced_ &&
+        now - *first_announced_ < announcement_time) {
+        newest_announced_ = std::max(newest_announced_, seen.version);
+    }
     revisions_[seen.from] = seen.version;
     const auto pause = fetching_ ? fetch_timeout : fetch_interval;
     if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < pause) {
@@ -304,8 +323,8 @@
         send_changes(message.from_instance(), message.published_fetch().after(), max_message_bytes);
         return;
     case wire::envelope::kPublishedNotice:
-        last_notice_ = monotonic_now();
         on_revision_seen({message.from_instance(), message.published_notice().revision(), 0, 0});
+        last_notice_ = monotonic_now();
         return;
     case wire::envelope::kPublishedPart:
         on_published_part(message.published_part());
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -57,6 +57,11 @@
     watch();
 }
 
+auto store_reader::has_listed() const -> bool
+{
+    return has_listed_;
+}
+
 auto store_reader::available() const -> bool
 {
     return available_ && active_;
@@ -184,6 +189,7 @@
                                        listing_revision_, std::exchange(listed_items_, {}));
     state_.revision = std::max(state_.revision, listing_revision_);
     listed_ = true;
+    has_listed_ = true;
     log_event(log_level::info, "store_listed",
               {{"revision", std::to_string(listing_revision_)},
                {"items", std::to_string(state_.items.size())},
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -4,6 +4,13 @@
 
 namespace cyclamenpost {
 
+namespace {
+
+// a new instance stops waiting for an announced revision that no live instance can send it
+constexpr duration max_catch_up_time = std::chrono::seconds{6};
+
+} // namespace
+
 auto store_readers(std::vector<std::string> zone_members) -> std::vector<std::string>
 {
     std::sort(zone_members.begin(), zone_members.end(),
@@ -45,4 +52,17 @@
     return other == readers.end() ? seen_in : *other;
 }
 
+auto knows_enough(const start_knowledge& known) -> bool
+{
+    if (known.listed_store) {
+        return true;
+    }
+    if (known.revision == 0) {
+        return false;
+    }
+    const auto confirmed = known.heard_reader || known.since_first_announced >= announcement_time;
+    return (confirmed && known.revision >= known.newest_announced) ||
+           known.since_first_announced >= max_catch_up_time;
+}
+
 } // namespace cyclamenpost
--- a/tests/unit-store_readers.cpp
+++ b/tests/unit-store_readers.cpp
@@ -69,3 +69,53 @@
     // an instance without known members is a reader
     CHECK(must_read_store({"f1"}, "f1", 0ms));
 }
+
+TEST_CASE("store_readers: a new instance that reads the store itself takes requests at once")
+{
+    auto known = start_knowledge{};
+    CHECK_FALSE(knows_enough(known));
+    known.listed_store = true;
+    CHECK(knows_enough(known));
+}
+
+TEST_CASE("store_readers: a new instance does not use the state of a peer that lags")
+{
+    // its first peer lost the store at revision 40; key and target went at 45
+    auto known = start_knowledge{};
+    known.revision = 40;
+    known.newest_announced = 40;
+    known.since_first_announced = 100ms;
+    CHECK_FALSE(knows_enough(known));
+    SUBCASE("a reader of the store is ahead")
+    {
+        known.heard_reader = true;
+        known.newest_announced = 45;
+        CHECK_FALSE(knows_enough(known));
+        known.revision = 45;
+        CHECK(knows_enough(known));
+    }
+    SUBCASE("a reader confirms the state")
+    {
+        known.heard_reader = true;
+        CHECK(knows_enough(known));
+    }
+    SUBCASE("no instance reads the store, but another one is ahead")
+    {
+        known.newest_announced = 45;
+        known.since_first_announced = announcement_time;
+        CHECK_FALSE(knows_enough(known));
+        known.revision = 46;
+        CHECK(knows_enough(known));
+    }
+    SUBCASE("no instance reads the store, and none is ahead")
+    {
+        known.since_first_announced = announcement_time;
+        CHECK(knows_enough(known));
+    }
+    SUBCASE("the instance that was ahead has died")
+    {
+        known.newest_announced = 45;
+        known.since_first_announced = 10s;
+        CHECK(knows_enough(known));
+    }
+}
