Read the store at a slower pace while no reader of the zone is known

An instance that starts knows only itself, so it counted as its zone's reader and called ten times a second while targets registered; when the store is lost, every instance of the fleet called it 2.5 times a second. Change: three duties in place of a flag: none, backup (no reader's notice; pauses of 0.5 s after changes and of up to 1.6 s after failures, unless the instance knows nothing yet) and reader, which an instance becomes 3 s after its start at the earliest. Tests: unit-store_readers, with a model of the start of 400 instances.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -66,9 +66,8 @@
     /// sends the changes after `before` to the instances that leave the store to the readers.
     auto announce_revision(std::uint64_t before) -> void;
 
-    /// Whether this instance has to read the store itself: it is one of its zone's readers, or it
-    /// has received no notice from them for a while.
-    auto reads_store() const -> bool;
+    /// Whether and how this instance has to read the store itself.
+    auto duty() const -> store_duty;
 
     /// Reports a target's crash during a request to all live instances.
     auto broadcast_crash_report(const crash_report& seen) -> void;
@@ -115,6 +114,7 @@
     cluster_node cluster_;
     timer fetch_timer_;
     timer notice_timer_;
+    time_point started_{};
     time_point last_notice_{};
     time_point last_fetch_{};
     /// Version of the seed list; membership ignores a list that is not newer.
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -5,6 +5,7 @@
 
 #include "cyclamenpost/entry/platform_codec.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
+#include "cyclamenpost/routing/store_readers.hpp"
 #include "cyclamenpost/transport/http1_client.hpp"
 
 namespace cyclamenpost {
@@ -21,11 +22,6 @@
     /// Limit up to which the timeout grows while the store accepts connections but answers too
     /// late.
     duration max_answer_timeout = std::chrono::milliseconds{1500};
-    /// Wait before a retry; doubles with each further failure up to `max_backoff`.
-    duration initial_backoff = std::chrono::milliseconds{100};
-    duration max_backoff = std::chrono::milliseconds{400};
-    /// Pause after a watch has returned changes, so that the next call returns several at once.
-    duration batch_delay = std::chrono::milliseconds{100};
 };
 
 /// Callbacks into the instance.
@@ -48,7 +44,7 @@
 
     /// Resumes reading, or leaves it to other instances of the zone. The first listing always
     /// completes.
-    auto set_active(bool active) -> void;
+    auto set_duty(store_duty duty) -> void;
 
     /// Whether the store's whole listing has been read since the start.
     auto has_listed() const -> bool;
@@ -103,7 +99,7 @@
     unsigned failures_ = 0;
     bool available_ = false;
     bool stopped_ = true;
-    bool active_ = true;
+    store_duty duty_ = store_duty::backup;
     std::optional<time_point> last_unavailable_;
     bool others_served_ = false;
     duration extra_timeout_{};
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,11 +26,38 @@
 /// itself.
 inline constexpr duration notice_timeout = std::chrono::milliseconds{1700};
 
-/// Whether an instance has to read the store itself: it is a reader according to its view of the
-/// zone, or it has received no reader's notice for `notice_timeout`. After its start an instance
-/// reads the store until the first notice.
-auto must_read_store(const std::vector<std::string>& readers, std::string_view own_id,
-                     duration since_notice) -> bool;
+/// An instance that has just started does not know its zone's members yet; for this time it is not
+/// a reader, whatever its view of the zone.
+inline constexpr duration reader_settle_time = std::chrono::seconds{3};
+
+/// How an instance reads the store.
+enum class store_duty {
+    /// It leaves the store to its zone's readers.
+    none,
+    /// It reads the store because no reader has sent it a notice, but at a slower pace, since all
+    /// other instances of the zone may be doing the same.
+    backup,
+    /// It reads the store for its zone.
+    reader,
+};
+
+inline constexpr std::array store_duty_names{
+    enum_name<store_duty>{store_duty::none, "none"},
+    enum_name<store_duty>{store_duty::backup, "backup"},
+    enum_name<store_duty>{store_duty::reader, "reader"},
+};
+
+/// Duty of an instance that has run for `since_start` and received the last reader's notice
+/// `since_notice` ago.
+auto store_duty_of(const std::vector<std::string>& readers, std::string_view own_id,
+                   duration since_notice, duration since_start) -> store_duty;
+
+/// Pause after a watch that returned changes, so that the next call returns several at once.
+auto pause_after_changes(store_duty duty) -> duration;
+
+/// Pause after a call that failed, the last of `failures` in a row. An instance that knows nothing
+/// of the store yet does not slow down as a backup.
+auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration;
 
 /// Reader from which an instance fetches large changes. The instances of a zone are spread over its
 /// readers, so that no single link carries the traffic of all. Empty when the instance is the
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -326,7 +326,7 @@
     const auto now = monotonic_now();
     refresh_members();
     check_knowledge();
-    store_.set_active(peers_.reads_store());
+    store_.set_duty(peers_.duty());
     purge_removed_targets(view_.targets, now);
     expire_crash_reports(view_.suspects, now);
 }
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -88,6 +88,7 @@
 
 auto peers::start() -> result<void>
 {
+    started_ = monotonic_now();
     auto events = cluster_handlers{};
     events.on_member_change = [this](const member_change&) { handlers_.on_members(); };
     events.on_peer_config_version = [this](const peer_config_version& seen) {
@@ -179,10 +180,11 @@
     return std::find(readers.begin(), readers.end(), settings_.peer_address) != readers.end();
 }
 
-auto peers::reads_store() const -> bool
+auto peers::duty() const -> store_duty
 {
-    return must_read_store(store_readers(zone_members()), settings_.peer_address,
-                           monotonic_now() - last_notice_);
+    const auto now = monotonic_now();
+    return store_duty_of(store_readers(zone_members()), settings_.peer_address, now - last_notice_,
+                         now - started_);
 }
 
 auto peers::notify_zone() -> void
@@ -286,7 +288,7 @@
     const auto readers = store_readers(zone_members());
     const auto source = fetch_source(seen.version, seen.from);
     const auto expected = source == preferred_reader(readers, settings_.peer_address);
-    if (!handlers_.store_available() && (reads_store() || expected)) {
+    if (!handlers_.store_available() && (duty() != store_duty::none || expected)) {
         fetch(source);
         return;
     }
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -44,13 +44,19 @@
     next_call_timer_.reset();
 }
 
-auto store_reader::set_active(bool active) -> void
+auto store_reader::set_duty(store_duty duty) -> void
 {
-    if (std::exchange(active_, active) == active || stopped_ || !listed_) {
+    const auto before = std::exchange(duty_, duty);
+    const auto starts_or_ends = (before == store_duty::none) != (duty == store_duty::none);
+    if (before == duty || stopped_ || !listed_) {
+        return;
+    }
+    log_event(log_level::info, "store_duty",
+              {{"duty", std::string{name_in(store_duty_names, duty)}},
+               {"revision", std::to_string(state_.revision)}});
+    if (!starts_or_ends) {
         return;
     }
-    log_event(log_level::info, active ? "store_reading" : "store_left_to_others",
-              {{"revision", std::to_string(state_.revision)}});
     exchange_.cancel();
     timeout_timer_.reset();
     next_call_timer_.reset();
@@ -64,7 +70,7 @@
 
 auto store_reader::available() const -> bool
 {
-    return available_ && active_;
+    return available_ && duty_ != store_duty::none;
 }
 
 auto store_reader::may_have_lapsed(duration window, time_point now) const -> bool
@@ -82,7 +88,8 @@
 
 auto store_reader::restart_watch() -> void
 {
-    if (!stopped_ && active_ && listed_ && exchange_ && state_.revision > watched_after_) {
+    if (!stopped_ && duty_ != store_duty::none && listed_ && exchange_ &&
+        state_.revision > watched_after_) {
         exchange_.cancel();
         timeout_timer_.reset();
         watch();
@@ -200,7 +207,7 @@
 
 auto store_reader::watch() -> void
 {
-    if (stopped_ || !active_) {
+    if (stopped_ || duty_ == store_duty::none) {
         return;
     }
     watched_after_ = state_.revision;
@@ -234,7 +241,7 @@
         watch();
         return;
     }
-    next_call_timer_ = loop_.call_after(settings_.batch_delay, [this] { watch(); });
+    next_call_timer_ = loop_.call_after(pause_after_changes(duty_), [this] { watch(); });
 }
 
 auto store_reader::handle_failure(std::string_view cause) -> void
@@ -244,9 +251,8 @@
     }
     set_available(false, cause);
     last_unavailable_ = monotonic_now();
-    const auto doubled = settings_.initial_backoff * (1U << std::min(failures_, 5U));
     ++failures_;
-    const auto pause = std::min(doubled, settings_.max_backoff);
+    const auto pause = pause_after_failure(duty_, failures_, state_.revision > 0);
     next_call_timer_ = loop_.call_after(pause, [this] {
         if (listed_) {
             watch();
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -8,6 +8,11 @@
 
 // a new instance stops waiting for an announced revision that no live instance can send it
 constexpr duration max_catch_up_time = std::chrono::seconds{6};
+constexpr duration reader_batch_pause = std::chrono::milliseconds{100};
+constexpr duration backup_batch_pause = std::chrono::milliseconds{500};
+constexpr duration first_failure_pause = std::chrono::milliseconds{100};
+constexpr duration max_reader_pause = std::chrono::milliseconds{400};
+constexpr duration max_backup_pause = std::chrono::milliseconds{1600};
 
 } // namespace
 
@@ -21,11 +26,28 @@
     return zone_members;
 }
 
-auto must_read_store(const std::vector<std::string>& readers, std::string_view own_id,
-                     duration since_notice) -> bool
+auto store_duty_of(const std::vector<std::string>& readers, std::string_view own_id,
+                   duration since_notice, duration since_start) -> store_duty
 {
-    const auto is_reader = std::find(readers.begin(), readers.end(), own_id) != readers.end();
-    return is_reader || since_notice > notice_timeout;
+    const auto listed = std::find(readers.begin(), readers.end(), own_id) != readers.end();
+    if (listed && since_start >= reader_settle_time) {
+        return store_duty::reader;
+    }
+    return since_notice > notice_timeout ? store_duty::backup : store_duty::none;
+}
+
+auto pause_after_changes(store_duty duty) -> duration
+{
+    return duty == store_duty::reader ? reader_batch_pause : backup_batch_pause;
+}
+
+auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration
+{
+    constexpr auto max_doublings = std::uint32_t{5};
+    const auto doublings = std::min(std::max(failures, 1U) - 1, max_doublings);
+    const auto slow = duty != store_duty::reader && knows_store;
+    return std::min<duration>(first_failure_pause * (1U << doublings),
+                              slow ? max_backup_pause : max_reader_pause);
 }
 
 auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
--- a/tests/unit-store_readers.cpp
+++ b/tests/unit-store_readers.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -60,14 +61,79 @@
 TEST_CASE(
     "store_readers: an instance that is no reader stops reading the store after the first notice")
 {
-    CHECK(must_read_store(readers, "r2", 0ms));
-    CHECK_FALSE(must_read_store(readers, "f1", 0ms));
-    CHECK_FALSE(must_read_store(readers, "f1", 2 * notice_period));
-    CHECK(must_read_store(readers, "f1", 3 * notice_period));
+    constexpr auto running = reader_settle_time;
+    CHECK(store_duty_of(readers, "r2", 0ms, running) == store_duty::reader);
+    CHECK(store_duty_of(readers, "f1", 0ms, running) == store_duty::none);
+    CHECK(store_duty_of(readers, "f1", 2 * notice_period, running) == store_duty::none);
+    CHECK(store_duty_of(readers, "f1", 3 * notice_period, running) == store_duty::backup);
     // no notice received since the start
-    CHECK(must_read_store(readers, "f1", 1h));
+    CHECK(store_duty_of(readers, "f1", 1h, running) == store_duty::backup);
     // an instance without known members is a reader
-    CHECK(must_read_store({"f1"}, "f1", 0ms));
+    CHECK(store_duty_of({"f1"}, "f1", 0ms, running) == store_duty::reader);
+}
+
+TEST_CASE("store_readers: an instance that has just started reads as a backup, since it does not "
+          "know yet that there are others")
+{
+    CHECK(store_duty_of({"f1"}, "f1", 1h, 0ms) == store_duty::backup);
+    CHECK(store_duty_of({"f1"}, "f1", 0ms, 0ms) == store_duty::none);
+}
+
+TEST_CASE("store_readers: a backup reads more slowly, but not before it knows anything")
+{
+    CHECK(pause_after_changes(store_duty::reader) < pause_after_changes(store_duty::backup));
+    // a change must reach an instance that is alone with the store within a second
+    CHECK(pause_after_changes(store_duty::backup) <= 1s);
+    for (const auto failures : {1U, 2U, 3U, 9U, 4'000'000'000U}) {
+        const auto reader = pause_after_failure(store_duty::reader, failures, true);
+        CHECK(pause_after_failure(store_duty::backup, failures, true) >= reader);
+        CHECK(pause_after_failure(store_duty::backup, failures, false) == reader);
+        CHECK(reader <= 400ms);
+        CHECK(pause_after_failure(store_duty::backup, failures, true) <= 2s);
+    }
+}
+
+namespace {
+
+/// Calls to the store in the first 10 s after all instances of a fleet start at once, while targets
+/// register every 20 ms. An instance knows its zone's members after 1 s, and readers send notices.
+auto calls_of_a_fleet_start(int zones, int instances_per_zone) -> int
+{
+    auto calls = 0;
+    for (auto zone = 0; zone < zones; ++zone) {
+        auto members = std::vector<std::string>{};
+        for (auto index = 0; index < instances_per_zone; ++index) {
+            members.push_back(std::to_string(zone) + ":" + std::to_string(index));
+        }
+        const auto zone_readers = store_readers(members);
+        for (const auto& id : members) {
+            const auto is_reader =
+                std::find(zone_readers.begin(), zone_readers.end(), id) != zone_readers.end();
+            ++calls; // the listing
+            for (auto now = duration{}; now < 10s;) {
+                const auto joined = now >= 1s;
+                const auto first_notice = 1s + notice_period;
+                const auto since_notice =
+                    joined && !is_reader && now >= first_notice ? duration{} : duration{1h};
+                const auto known = joined ? zone_readers : std::vector<std::string>{id};
+                const auto duty = store_duty_of(known, id, since_notice, now);
+                calls += duty == store_duty::none ? 0 : 1;
+                now += duty == store_duty::none ? duration{500ms} : pause_after_changes(duty);
+            }
+        }
+    }
+    return calls;
+}
+
+} // namespace
+
+TEST_CASE("store_readers: the calls of a fleet's start grow with the zones' readers, not with ten "
+          "calls a second for each instance")
+{
+    const auto small = calls_of_a_fleet_start(20, 3);
+    const auto large = calls_of_a_fleet_start(20, 20);
+    const auto per_follower = (large - small) / (20 * 17);
+    CHECK(per_follower <= 6);
 }
 
 TEST_CASE("store_readers: a new instance that reads the store itself takes requests at once")
