Let a zone's second and third reader read the store at a slower pace

Change: the second and third pause 0.3 s after changes; a change that comes while a watch waits still arrives at once. Tests: unit-store_readers.

--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -37,14 +37,17 @@
     /// It reads the store because no reader has sent it a notice, but at a slower pace, since all
     /// other instances of the zone may be doing the same.
     backup,
-    /// It reads the store for its zone.
-    reader,
+    /// It reads the store in case the zone's first reader fails.
+    standby,
+    /// It reads the store for its zone and pushes the changes to the others.
+    first_reader,
 };
 
 inline constexpr std::array store_duty_names{
     enum_name<store_duty>{store_duty::none, "none"},
     enum_name<store_duty>{store_duty::backup, "backup"},
-    enum_name<store_duty>{store_duty::reader, "reader"},
+    enum_name<store_duty>{store_duty::standby, "standby"},
+    enum_name<store_duty>{store_duty::first_reader, "first_reader"},
 };
 
 /// Duty of an instance that has run for `since_start` and received the last reader's notice
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -8,11 +8,13 @@
 
 // a new instance stops waiting for an announced revision that no live instance can send it
 constexpr duration max_catch_up_time = std::chrono::seconds{6};
-constexpr duration reader_batch_pause = std::chrono::milliseconds{100};
-constexpr duration backup_batch_pause = std::chrono::milliseconds{500};
+// pauses after changes; a change that comes while a watch waits is delivered at once
+constexpr duration first_reader_pause = std::chrono::milliseconds{100};
+constexpr duration standby_pause = std::chrono::milliseconds{300};
+constexpr duration backup_pause = std::chrono::milliseconds{500};
 constexpr duration first_failure_pause = std::chrono::milliseconds{100};
-constexpr duration max_reader_pause = std::chrono::milliseconds{400};
-constexpr duration max_backup_pause = std::chrono::milliseconds{1600};
+constexpr duration max_failure_pause = std::chrono::milliseconds{400};
+constexpr duration max_backup_failure_pause = std::chrono::milliseconds{1600};
 
 } // namespace
 
@@ -29,25 +31,35 @@
 auto store_duty_of(const std::vector<std::string>& readers, std::string_view own_id,
                    duration since_notice, duration since_start) -> store_duty
 {
-    const auto listed = std::find(readers.begin(), readers.end(), own_id) != readers.end();
-    if (listed && since_start >= reader_settle_time) {
-        return store_duty::reader;
+    const auto position = std::find(readers.begin(), readers.end(), own_id);
+    if (position != readers.end() && since_start >= reader_settle_time) {
+        return position == readers.begin() ? store_duty::first_reader : store_duty::standby;
     }
     return since_notice > notice_timeout ? store_duty::backup : store_duty::none;
 }
 
 auto pause_after_changes(store_duty duty) -> duration
 {
-    return duty == store_duty::reader ? reader_batch_pause : backup_batch_pause;
+    switch (duty) {
+    case store_duty::first_reader:
+        return first_reader_pause;
+    case store_duty::standby:
+        return standby_pause;
+    case store_duty::backup:
+    case store_duty::none:
+        break;
+    }
+    return backup_pause;
 }
 
 auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration
 {
     constexpr auto max_doublings = std::uint32_t{5};
     const auto doublings = std::min(std::max(failures, 1U) - 1, max_doublings);
-    const auto slow = duty != store_duty::reader && knows_store;
+    const auto reads_for_zone = duty == store_duty::first_reader || duty == store_duty::standby;
     return std::min<duration>(first_failure_pause * (1U << doublings),
-                              slow ? max_backup_pause : max_reader_pause);
+                              reads_for_zone || !knows_store ? max_failure_pause
+                                                             : max_backup_failure_pause);
 }
 
 auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
--- a/tests/unit-store_readers.cpp
+++ b/tests/unit-store_readers.cpp
@@ -62,14 +62,15 @@
     "store_readers: an instance that is no reader stops reading the store after the first notice")
 {
     constexpr auto running = reader_settle_time;
-    CHECK(store_duty_of(readers, "r2", 0ms, running) == store_duty::reader);
+    CHECK(store_duty_of(readers, "r1", 0ms, running) == store_duty::first_reader);
+    CHECK(store_duty_of(readers, "r2", 0ms, running) == store_duty::standby);
     CHECK(store_duty_of(readers, "f1", 0ms, running) == store_duty::none);
     CHECK(store_duty_of(readers, "f1", 2 * notice_period, running) == store_duty::none);
     CHECK(store_duty_of(readers, "f1", 3 * notice_period, running) == store_duty::backup);
     // no notice received since the start
     CHECK(store_duty_of(readers, "f1", 1h, running) == store_duty::backup);
     // an instance without known members is a reader
-    CHECK(store_duty_of({"f1"}, "f1", 0ms, running) == store_duty::reader);
+    CHECK(store_duty_of({"f1"}, "f1", 0ms, running) == store_duty::first_reader);
 }
 
 TEST_CASE("store_readers: an instance that has just started reads as a backup, since it does not "
@@ -81,11 +82,13 @@
 
 TEST_CASE("store_readers: a backup reads more slowly, but not before it knows anything")
 {
-    CHECK(pause_after_changes(store_duty::reader) < pause_after_changes(store_duty::backup));
+    CHECK(pause_after_changes(store_duty::first_reader) < pause_after_changes(store_duty::standby));
+    CHECK(pause_after_changes(store_duty::standby) <= pause_after_changes(store_duty::backup));
     // a change must reach an instance that is alone with the store within a second
     CHECK(pause_after_changes(store_duty::backup) <= 1s);
     for (const auto failures : {1U, 2U, 3U, 9U, 4'000'000'000U}) {
-        const auto reader = pause_after_failure(store_duty::reader, failures, true);
+        const auto reader = pause_after_failure(store_duty::first_reader, failures, true);
+        CHECK(pause_after_failure(store_duty::standby, failures, true) == reader);
         CHECK(pause_after_failure(store_duty::backup, failures, true) >= reader);
         CHECK(pause_after_failure(store_duty::backup, failures, false) == reader);
         CHECK(reader <= 400ms);
