Do not hold lost answers against a request, and avoid a target that another one answers for

Change: a reset does not count as a crash once the same incarnation is known to have answered 50 ms or more after it, by an own answer or by a load report shared between instances. 421 marks the target as unreachable, which starts its backoff, and its load is not taken for the target's own. Tests: unit-retries, unit-target_choice.

--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -74,6 +74,8 @@
     std::uint32_t in_flight = 0;
     time_point last_started{};
     std::optional<reported_load> load;
+    /// When this incarnation last answered, to this instance or to one that shared its report.
+    time_point answered_at{};
     /// Failures since the last success, and the end of the backoff that they caused.
     std::uint32_t consecutive_failures = 0;
     time_point backoff_until{};
@@ -126,6 +128,11 @@
 /// Deletes targets that have been unlisted for a while and have no requests in flight.
 auto purge_removed_targets(target_table& table, time_point now) -> void;
 
+/// Whether the incarnation of the target with the given id hash is known to have answered clearly
+/// after `reported`, when a connection to it was reset: it has not crashed then.
+auto has_survived(const target_table& table, std::uint64_t id_hash, std::int64_t started_ms,
+                  time_point reported) -> bool;
+
 /// Whether the target may receive new requests. Backoff, load and the cold quota are not checked.
 auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool;
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -83,7 +83,13 @@
         }
     };
     deadline_timer = call_later(time_left(), &forward_job::on_deadline);
-    if (suspicion_of(state.view.suspects, fingerprint, monotonic_now()) == suspicion::blocked) {
+    const auto survived = [this](std::uint64_t target_hash, incarnation_id incarnation,
+                                 time_point reported) {
+        return has_survived(state.view.targets, target_hash, static_cast<std::int64_t>(incarnation),
+                            reported);
+    };
+    if (suspicion_of(state.view.suspects, fingerprint, monotonic_now(), survived) ==
+        suspicion::blocked) {
         send_local_reply(service_unavailable, retry_after_delay(time_left(), 1), "crashes_targets");
         return;
     }
@@ -281,7 +287,8 @@
     answer = state.codec.decode_answer(head);
     answer_head = head;
     const auto found = state.view.targets.targets.find(target_id);
-    if (found != state.view.targets.targets.end()) {
+    if (found != state.view.targets.targets.end() && head.status != misdirected) {
+        found->second.answered_at = first_byte_at;
         if (answer.load) {
             record_load(found->second, answer.load->running, answer.load->waiting, first_byte_at);
         }
@@ -354,9 +361,13 @@
         finish(answer_head.status, "answered", "stream_complete");
         return;
     }
-    if (answer_head.status == misdirected || answer.not_executed) {
-        end_attempt(attempt_end::not_executed, target_outcome::rejected,
-                    answer_head.status == misdirected ? "other_target" : "not_executed");
+    if (answer_head.status == misdirected) {
+        // the target is gone; until its entry goes too, it must not attract further requests
+        end_attempt(attempt_end::not_executed, target_outcome::unreachable, "other_target");
+        return;
+    }
+    if (answer.not_executed) {
+        end_attempt(attempt_end::not_executed, target_outcome::rejected, "not_executed");
         return;
     }
     ++runs;
--- a/src/limits/retries.cpp
+++ b/src/limits/retries.cpp
@@ -195,7 +195,7 @@
 auto add_crash_report(suspect_table& table, const crash_report& seen, time_point now) -> bool
 {
     expire_crash_reports(table, now);
-    const auto counted = detail::counted_crash{hash64(seen.target), seen.target_incarnation,
+    const auto counted = detail::counted_crash{hash64(seen.target), seen.target_incarnation, now,
                                                now + table.settings.lifetime, false};
     if (!table.suspects.contains(seen.fingerprint)) {
         evict_to_limit(table);
@@ -217,14 +217,18 @@
     return true;
 }
 
-auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now)
-    -> suspicion
+auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now,
+                  const survival_test& survived) -> suspicion
 {
     const auto found = table.suspects.find(fingerprint);
     if (found == table.suspects.end()) {
         return suspicion::none;
     }
-    const auto crashes = count_active(found->second, now);
+    auto standing = found->second;
+    std::erase_if(standing, [&](const detail::counted_crash& one) {
+        return survived && survived(one.target_hash, one.incarnation, one.counted_at);
+    });
+    const auto crashes = count_active(standing, now);
     if (crashes == 0) {
         return suspicion::none;
     }
--- a/src/routing/load_sharing.cpp
+++ b/src/routing/load_sharing.cpp
@@ -68,6 +68,7 @@
         if (known.load && known.load->reported_at >= at) {
             continue;
         }
+        known.answered_at = std::max(known.answered_at, at);
         const auto begun = known.load && known.last_started > at ? known.load->started_since : 0;
         known.load = reported_load{load.requests, at, begun, origin, now};
     }
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_cold_sharers = 6;
 // share of the allowance that is divided; the rest is a reserve for disagreement about the members
 constexpr double divided_cold_share = 0.5;
+// answers that a target sent before it crashed have arrived after this time
+constexpr duration answer_transit_time = std::chrono::milliseconds{50};
 
 auto index_target(target_table& table, const published_target& entry) -> void
 {
@@ -92,6 +94,16 @@
     }
 }
 
+auto has_survived(const target_table& table, std::uint64_t id_hash, std::int64_t started_ms,
+                  time_point reported) -> bool
+{
+    return std::any_of(table.targets.begin(), table.targets.end(), [&](const auto& entry) {
+        const auto& known = entry.second;
+        return known.published.started_ms == started_ms &&
+               known.answered_at > reported + answer_transit_time && hash64(entry.first) == id_hash;
+    });
+}
+
 auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool
 {
     if (candidate.published.draining || table.evacuated_zones.contains(candidate.published.zone)) {
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/target_choice.hpp"
 
 using namespace cyclamenpost;
@@ -274,3 +275,31 @@
     CHECK(table.targets.at("t0").consecutive_failures == 0);
     CHECK(table.targets.at("t0").backoff_until == time_point{});
 }
+
+TEST_CASE(
+    "target_choice: only an answer clearly after the reset of the same incarnation shows that "
+    "a target survived")
+{
+    auto table = target_table{};
+    auto entry = published_target{};
+    entry.id = "t1";
+    entry.service = "app";
+    entry.started_ms = 5;
+    const auto start = time_point{} + std::chrono::hours{1};
+    const auto reset = start + std::chrono::seconds{10};
+    upsert_target(table, entry, start);
+    const auto survived = [&] { return has_survived(table, hash64("t1"), 5, reset); };
+    auto& known = table.targets.at("t1");
+    known.answered_at = reset + std::chrono::milliseconds{20};
+    CHECK_FALSE(survived());
+    // another instance shares the load that the target reported 100 ms after the reset
+    const auto later = reset + std::chrono::milliseconds{400};
+    merge_shared_loads(table, {{name_key("t1"), 3, std::chrono::milliseconds{300}}},
+                       report_origin::zone_peer, later);
+    CHECK(survived());
+    CHECK_FALSE(has_survived(table, hash64("t2"), 5, reset));
+    // a restart under the same id proves nothing
+    entry.started_ms = 6;
+    upsert_target(table, entry, later);
+    CHECK_FALSE(survived());
+}
