Hold requests while a starting instance reads the store for the first time

Change: until the first listing is answered or fails, at most 1.2 s after the start, up to 256 requests are held and then handled in order. Without an answer of the store, or after a failure, they are refused at once as before. Tests: unit-entry_instance.

--- a/fakes/lib/fake_store.cpp
+++ b/fakes/lib/fake_store.cpp
@@ -108,6 +108,14 @@
     return request_count_;
 }
 
+auto fake_store::answer_late() -> void
+{
+    set_mode(store_mode::normal);
+    for (const auto& exchange : std::exchange(unanswered_, {})) {
+        serve(exchange);
+    }
+}
+
 auto fake_store::serve(const std::shared_ptr<server_exchange>& exchange) -> void
 {
     ++request_count_;
--- a/fakes/lib/fake_store.hpp
+++ b/fakes/lib/fake_store.hpp
@@ -46,6 +46,9 @@
     /// Changes how readers are answered. Pending watches are answered only in mode `normal`.
     auto set_mode(store_mode mode) -> void;
 
+    /// Answers the requests that were accepted in mode `silent`; the mode becomes `normal`.
+    auto answer_late() -> void;
+
     /// Drops the history of changes; a watch from before the present revision is answered 410.
     auto drop_history() -> void;
 
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -84,6 +84,8 @@
     http1_server directory_;
     http1_server metrics_server_;
     timer maintenance_;
+    /// Looks after held requests while the instance is starting.
+    timer hold_timer_;
     timer shutdown_timer_;
     time_point started_{};
     time_point shutdown_begun_{};
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -23,6 +23,9 @@
     /// The targets are known, and nothing known may be older than what the instance knew before a
     /// restart (`knows_enough`). Until then requests are refused.
     bool up_to_date = false;
+    /// The instance has just started and its first call to the store is still in progress, which
+    /// mostly takes less than a second. Requests are held meanwhile instead of being refused.
+    bool first_listing_expected = false;
     /// Ids of all known instances, this one included; empty until the membership has settled.
     std::vector<std::string> members;
     /// Retry budgets by service.
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -33,6 +33,8 @@
     std::size_t max_answer_bytes = std::size_t{16} << 20U;
     /// Largest event of a stream, in bytes.
     std::size_t max_event_bytes = std::size_t{256} << 10U;
+    /// Requests that are held until a starting instance knows enough to handle them.
+    std::size_t max_held_requests = 256;
     /// Bytes of answers that all requests may buffer together.
     std::size_t max_buffered_bytes = std::size_t{64} << 20U;
 };
@@ -53,6 +55,10 @@
     /// Handles one request of a caller.
     auto handle(std::shared_ptr<server_exchange> exchange) -> void;
 
+    /// Handles the requests that were held while the instance was starting, after `fleet_view` has
+    /// become current or can no longer be expected to become so soon.
+    auto release_held() -> void;
+
     /// Number of requests without a final answer.
     auto running() const -> std::size_t;
 
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -49,6 +49,9 @@
     /// Whether the store's whole listing has been read since the start.
     auto has_listed() const -> bool;
 
+    /// Whether the first listing is in progress and no call has failed yet.
+    auto first_listing_in_progress() const -> bool;
+
     /// Whether this instance reads the store and its last call was answered.
     auto available() const -> bool;
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -11,6 +11,10 @@
 constexpr auto ok = 200;
 constexpr auto not_found = 404;
 constexpr auto service_unavailable = 503;
+// requests are held for at most this long after a start; the first listing of the store is mostly
+// answered sooner, also when a whole fleet starts at once
+constexpr duration max_hold_time = std::chrono::milliseconds{1200};
+constexpr duration hold_check_period = std::chrono::milliseconds{50};
 constexpr duration maintenance_period = std::chrono::milliseconds{500};
 constexpr duration shutdown_check_period = std::chrono::milliseconds{50};
 // callers use a cached directory answer for about this long after the shutdown has begun; a later
@@ -137,6 +141,7 @@
 {
     started_ = monotonic_now();
     supervisor_.start(supervision_tree());
+    hold_timer_ = loop_.call_every(hold_check_period, [this] { check_knowledge(); });
     maintenance_ = loop_.call_every(maintenance_period, [this] { maintain(); });
     forwarder_.on_crash_report(
         [this](const crash_report& seen) { peers_.broadcast_crash_report(seen); });
@@ -145,6 +150,7 @@
 auto entry_instance::start_store() -> result<void>
 {
     store_.start();
+    check_knowledge();
     return {};
 }
 
@@ -219,6 +225,12 @@
     auto known = peers_.announced();
     known.listed_store = store_.has_listed();
     view_.up_to_date = view_.up_to_date || knows_enough(known);
+    view_.first_listing_expected = !view_.up_to_date && store_.first_listing_in_progress() &&
+                                   monotonic_now() - started_ < max_hold_time;
+    if (!view_.first_listing_expected) {
+        hold_timer_.reset();
+        forwarder_.release_held();
+    }
     announce_if_ready();
 }
 
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "cyclamenpost/core/log_buffer.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
@@ -31,6 +32,8 @@
     /// Bytes of answers that the requests have buffered.
     byte_budget buffered;
     std::set<std::shared_ptr<detail::forward_job>> jobs;
+    /// Requests held while the instance is starting, in the order of their arrival.
+    std::vector<std::shared_ptr<server_exchange>> held;
     std::function<void(const crash_report&)> broadcast_crash_report;
     line_sampler sampler;
 };
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -85,6 +85,7 @@
           {settings.max_buffered_bytes},
           {},
           {},
+          {},
           {}})
 {}
 
@@ -96,9 +97,19 @@
     }
 }
 
+auto forwarder::release_held() -> void
+{
+    for (auto& exchange : std::exchange(state_->held, {})) {
+        const auto caller_left = exchange->answered();
+        if (!caller_left) {
+            handle(std::move(exchange));
+        }
+    }
+}
+
 auto forwarder::running() const -> std::size_t
 {
-    return state_->jobs.size();
+    return state_->jobs.size() + state_->held.size();
 }
 
 auto forwarder::end_all() -> void
@@ -119,6 +130,12 @@
     auto& view = state_->view;
     const auto& codec = state_->codec;
     auto request = codec.decode_request(exchange->head);
+    if (!view.up_to_date && view.first_listing_expected &&
+        state_->held.size() < state_->settings.max_held_requests) {
+        log_event(log_level::debug, "request_held", {{"request", request.id}});
+        state_->held.push_back(std::move(exchange));
+        return;
+    }
     if (!view.routes || !view.up_to_date) {
         reject_request(codec, *exchange, service_unavailable, startup_retry_after, request,
                        view.routes ? "not_up_to_date" : "no_configuration");
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -68,6 +68,11 @@
     return has_listed_;
 }
 
+auto store_reader::first_listing_in_progress() const -> bool
+{
+    return !has_listed_ && !stopped_ && !last_unavailable_;
+}
+
 auto store_reader::available() const -> bool
 {
     return available_ && duty_ != store_duty::none;
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -250,3 +250,31 @@
     instances.back()->reload(changed);
     wait([&] { return addresses(1) == 2 && addresses(0) == 2; });
 }
+
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: requests that arrive during the first listing are served")
+{
+    publish(1);
+    add_target("app-1", "app");
+    store.set_mode(store_mode::silent);
+    add_instance();
+    wait([&] { return store.request_count() > 0; });
+    auto call = caller_call{};
+    send(call, "/book/1", 0, "key-1", "held");
+    wait([&] { return call.exchange.sent(); });
+    store.answer_late();
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 200);
+    CHECK(runs_of("held") == 1);
+}
+
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: requests are refused at once when the first listing fails")
+{
+    publish(1);
+    store.set_mode(store_mode::busy);
+    add_instance();
+    wait([&] { return store.request_count() > 0; });
+    wait([&] { return !instances[0]->view().first_listing_expected; });
+    CHECK(ask("/book/1").head.status == 503);
+}
