--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -243,7 +243,15 @@
         crash_target(target);
         return "crash " + id;
     }
-    const auto mode = target_mode_names[random() % target_mode_names.size()];
+    // one draw as before `stalling` and the later modes came, so that the seeds of earlier failures
+    // keep their faults
+    constexpr auto earlier_modes = std::uint64_t{7};
+    constexpr auto later_mode_bits = 32U;
+    const auto draw = random();
+    const auto later = (draw >> later_mode_bits) % 3 == 0;
+    const auto mode = target_mode_names.at(
+        later ? earlier_modes + draw % (target_mode_names.size() - earlier_modes)
+              : draw % earlier_modes);
     target.fake->set_mode(mode.value);
     return "target " + target.fake->id() + " " + std::string{mode.name};
 }
