Wait for answers that are still being sent when cyclamenpostd stops

A request counted as ended when its answer was handed to the HTTP server, which sends it in later iterations; the process could end in between. Change: http_server counts requests until the last byte of their response was handed to the kernel, and the shutdown waits for them. Tests: unit-http.

--- a/include/cyclamenpost/transport/http.hpp
+++ b/include/cyclamenpost/transport/http.hpp
@@ -110,6 +110,10 @@
     /// The port in use.
     auto port() const -> int;
 
+    /// Requests passed to the handler or rejected whose response has not been handed to the kernel
+    /// completely.
+    auto unanswered_requests() const -> std::size_t;
+
     /// Stops accepting connections and closes those that are open.
     auto stop() -> void;
 
--- a/src/relay/router.cpp
+++ b/src/relay/router.cpp
@@ -383,7 +383,9 @@
     const auto waited = monotonic_now() - drain_start;
     const auto limit = duration(startup_settings.drain_timeout);
     const auto limit_exceeded = limit.count() > 0 && waited > limit;
-    if (!limit_exceeded && (waited < min_drain_time || requests.in_progress() > 0)) {
+    // a request that has ended may have an answer that is not sent completely
+    const auto open = std::max(requests.in_progress(), listener.unanswered_requests());
+    if (!limit_exceeded && (waited < min_drain_time || open > 0)) {
         return;
     }
     if (!std::exchange(handed_over, true)) {
@@ -392,7 +394,7 @@
         return;
     }
     log_event(log_level::info, "shutdown_complete",
-              {{"cut_off", std::to_string(requests.in_progress())}});
+              {{"cut_off", std::to_string(open)}});
     drain_timer.reset();
     child_supervisor.stop();
     on_exit(0);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -28,6 +28,8 @@
     std::string address;
     http_limits limits;
     request_handler handler;
+    /// Requests whose response has not been handed to the kernel completely.
+    std::size_t unanswered = 0;
     lws_vhost* vhost = nullptr;
     int port = 0;
     std::array<lws_protocols, 2> protocols{};
@@ -206,7 +208,7 @@
     }
 }
 
-auto on_writable(lws* wsi, session_slot& slot) -> int
+auto on_writable(lws* wsi, detail::http_server_state& server, session_slot& slot) -> int
 {
     if (slot.current == nullptr || !slot.current->exchange) {
         return 0;
@@ -227,6 +229,7 @@
         state->on_closed = nullptr;
         state->on_drained = nullptr;
         delete std::exchange(slot.current, nullptr);
+        --server.unanswered;
         return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
     }
     if (state->on_drained) {
@@ -240,16 +243,19 @@
 {
     current.exchange = std::make_shared<detail::exchange_state>();
     current.exchange->wsi = wsi;
+    ++server.unanswered;
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
     watch_hangup(wsi, server, *current.exchange);
     const auto exchange = std::make_shared<http_exchange>(current.exchange);
     server.handler(std::move(current.request), exchange);
 }
 
-auto refuse(lws* wsi, session& current, int status, std::string_view reason) -> int
+auto refuse(lws* wsi, detail::http_server_state& server, session& current, int status,
+            std::string_view reason) -> int
 {
     current.exchange = std::make_shared<detail::exchange_state>();
     current.exchange->wsi = wsi;
+    ++server.unanswered;
     const auto body = R"({"type":"about:blank","status":)" + std::to_string(status) +
                       R"(,"title":")" + std::string(status_text(status)) + R"(","detail":")" +
                       std::string(reason) + R"(","outcome":"not_run"})";
@@ -271,10 +277,10 @@
     current.request.peer = peer.data();
 
     if (current.request.method.empty()) {
-        return refuse(wsi, current, 405, "the method is not supported");
+        return refuse(wsi, server, current, 405, "the method is not supported");
     }
     if (!header_value(current.request.headers, "transfer-encoding").empty()) {
-        return refuse(wsi, current, 411, "send a content-length instead of a transfer-encoding");
+        return refuse(wsi, server, current, 411, "send a content-length instead of a transfer-encoding");
     }
     const auto length = header_value(current.request.headers, "content-length");
     if (length.empty()) {
@@ -284,10 +290,10 @@
     const auto* end = length.data() + length.size();
     const auto parsed = std::from_chars(length.data(), end, current.content_length);
     if (parsed.ec != std::errc{} || parsed.ptr != end) {
-        return refuse(wsi, current, 400, "the content-length is not a number");
+        return refuse(wsi, server, current, 400, "the content-length is not a number");
     }
     if (current.content_length > server.limits.max_body_bytes) {
-        return refuse(wsi, current, 413, "the body is larger than this instance accepts");
+        return refuse(wsi, server, current, 413, "the body is larger than this instance accepts");
     }
     if (current.content_length == 0) {
         dispatch(wsi, server, current);
@@ -313,7 +319,7 @@
     return 0;
 }
 
-auto on_close(lws* wsi, session_slot& slot) -> void
+auto on_close(lws* wsi, detail::http_server_state* server, session_slot& slot) -> void
 {
     const auto* current = std::exchange(slot.current, nullptr);
     if (current == nullptr) {
@@ -324,6 +330,9 @@
     if (!state) {
         return;
     }
+    if (server != nullptr) {
+        --server->unanswered;
+    }
     if (state->hangup_epoll >= 0) {
         epoll_ctl(state->hangup_epoll, EPOLL_CTL_DEL, lws_get_socket_fd(wsi), nullptr);
     }
@@ -348,10 +357,10 @@
     case LWS_CALLBACK_HTTP_BODY:
         return on_body(wsi, *server, *slot, {static_cast<const char*>(in), length});
     case LWS_CALLBACK_HTTP_WRITEABLE:
-        return on_writable(wsi, *slot);
+        return on_writable(wsi, *server, *slot);
     case LWS_CALLBACK_CLOSED_HTTP:
         if (slot != nullptr) {
-            on_close(wsi, *slot);
+            on_close(wsi, server, *slot);
         }
         return 0;
     default:
@@ -489,6 +498,11 @@
     return state_ ? state_->port : 0;
 }
 
+auto http_server::unanswered_requests() const -> std::size_t
+{
+    return state_ ? state_->unanswered : 0;
+}
+
 auto http_server::stop() -> void
 {
     if (state_ && state_->vhost != nullptr) {
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -210,3 +210,28 @@
     CHECK(loop.run_until([&] { return done; }, 60s));
     CHECK(!late);
 }
+
+TEST_CASE("a response counts as unanswered until its last byte was handed to the kernel")
+{
+    // a shutdown that looks at the handler alone would cut off the rest of the response
+    auto held = std::shared_ptr<http_exchange>{};
+    auto running = running_server{[&](const http_request&, const auto& exchange) {
+        held = exchange;
+        exchange->respond(200, {}, std::string(std::size_t{32} << 20U, 'x'));
+    }};
+    CHECK(running.server.unanswered_requests() == 0);
+    auto request = client_request{};
+    request.address = running.address();
+    auto received = client_response{};
+    auto finished = false;
+    fetch(running.loop, std::move(request), std::size_t{64} << 20U, [&](client_response whole) {
+        received = std::move(whole);
+        finished = true;
+    });
+    REQUIRE(running.loop.run_until([&] { return held != nullptr; }, 10s));
+    CHECK_FALSE(held->is_open());
+    CHECK(running.server.unanswered_requests() == 1);
+    REQUIRE(running.loop.run_until([&] { return running.server.unanswered_requests() == 0; }, 30s));
+    REQUIRE(running.loop.run_until([&] { return finished; }, 30s));
+    CHECK(received.end == call_end::complete);
+}
