Accept a reader's state as current after a start

Change: a part that ends a peer's state says whether its sender reads the store itself, which confirms it as a notice does.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -123,7 +123,10 @@
     std::map<std::string, std::uint64_t> revisions_;
     /// When the first revision was announced.
     std::optional<time_point> first_announced_;
-    /// Highest revision announced until a reader's notice came or `announcement_time` was over.
+    /// An instance that reads the store has sent all that it knows.
+    bool heard_reader_ = false;
+    /// Highest revision announced until a reader's notice or state came or `announcement_time` was
+    /// over.
     std::uint64_t newest_announced_ = 0;
     /// The last fetch has not been answered completely.
     bool fetching_ = false;
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -85,7 +85,7 @@
     /// Highest revision that other instances announced to it before `heard_reader`, or before the
     /// time for announcements was over.
     std::uint64_t newest_announced = 0;
-    /// An instance that reads the store has sent it a notice.
+    /// An instance that reads the store has sent it a notice, or all that it knows.
     bool heard_reader = false;
     /// Time since it first heard of a revision from another instance.
     duration since_first_announced{};
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -264,7 +264,7 @@
     auto known = start_knowledge{};
     known.revision = state_.revision;
     known.newest_announced = newest_announced_;
-    known.heard_reader = last_notice_ != time_point{};
+    known.heard_reader = heard_reader_ || last_notice_ != time_point{};
     known.since_first_announced =
         first_announced_ ? monotonic_now() - *first_announced_ : duration::zero();
     return known;
@@ -276,8 +276,9 @@
     if (!first_announced_ && seen.version > 0) {
         first_announced_ = now;
     }
-    if (last_notice_ == time_point{} && first_announced_ &&
-        now - *first_announced_ < announcement_time) {
+    const auto collecting = !heard_reader_ && last_notice_ == time_point{} && first_announced_ &&
+                            now - *first_announced_ < announcement_time;
+    if (collecting) {
         newest_announced_ = std::max(newest_announced_, seen.version);
     }
     revisions_[seen.from] = seen.version;
@@ -384,6 +385,7 @@
         part->set_revision(state_.revision);
         part->set_last(last);
         part->set_lapsing(handlers_.may_have_lapsed());
+        part->set_from_reader(handlers_.store_available());
         cluster_.send(to, message);
         part->clear_changes();
         size = 0;
@@ -422,6 +424,7 @@
     }
     fetching_ = fetching_ && !part.last();
     const auto revision = complete ? part.revision() : 0;
+    heard_reader_ = heard_reader_ || (revision > 0 && part.from_reader());
     const auto changed = apply_changes(state_, part.after(), revision, items);
     if (part.last()) {
         log_event(log_level::info, "changes_taken",
