--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -22,6 +22,8 @@
 // connections, callers' requests and published state
 constexpr std::size_t buffered_memory_divisor = 4;
 constexpr std::size_t answer_memory_divisor = 16;
+// a smaller or missing figure for the machine's memory must not make ordinary answers too large
+constexpr std::size_t min_memory_bytes = std::size_t{32} << 20U;
 
 auto reject_request(const platform_codec& codec, server_exchange& exchange, int status,
                     duration retry_after, const request_metadata& request, std::string_view cause)
@@ -63,9 +65,9 @@
 auto forwarder_settings_for(std::size_t memory_bytes) -> forwarder_settings
 {
     auto chosen = forwarder_settings{};
-    chosen.max_buffered_bytes = memory_bytes / buffered_memory_divisor;
-    chosen.max_answer_bytes =
-        std::min(chosen.max_answer_bytes, memory_bytes / answer_memory_divisor);
+    const auto memory = std::max(memory_bytes, min_memory_bytes);
+    chosen.max_buffered_bytes = memory / buffered_memory_divisor;
+    chosen.max_answer_bytes = std::min(chosen.max_answer_bytes, memory / answer_memory_divisor);
     chosen.max_event_bytes = std::min(chosen.max_event_bytes, chosen.max_answer_bytes);
     return chosen;
 }
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -319,3 +319,14 @@
     CHECK(call.head.status == (runs_of("r-lost") > 0 ? 502 : 503));
     CHECK(runs_of("r-lost") == 1);
 }
+
+TEST_CASE("forwarder: buffer limits follow the machine's memory and stay usable without a figure")
+{
+    constexpr auto megabyte = std::size_t{1} << 20U;
+    const auto small = forwarder_settings_for(160 * megabyte);
+    CHECK(small.max_buffered_bytes == 40 * megabyte);
+    CHECK(small.max_answer_bytes == 10 * megabyte);
+    CHECK(forwarder_settings_for(4096 * megabyte).max_answer_bytes == 16 * megabyte);
+    CHECK(forwarder_settings_for(0).max_answer_bytes == 2 * megabyte);
+    CHECK(forwarder_settings_for(0).max_event_bytes <= forwarder_settings_for(0).max_answer_bytes);
+}
