--- a/src/relay/router.cpp
+++ b/src/relay/router.cpp
@@ -393,8 +393,7 @@
         // the handover messages are sent in the next iterations of the event loop
         return;
     }
-    log_event(log_level::info, "shutdown_complete",
-              {{"cut_off", std::to_string(open)}});
+    log_event(log_level::info, "shutdown_complete", {{"cut_off", std::to_string(open)}});
     drain_timer.reset();
     child_supervisor.stop();
     on_exit(0);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -280,7 +280,8 @@
         return refuse(wsi, server, current, 405, "the method is not supported");
     }
     if (!header_value(current.request.headers, "transfer-encoding").empty()) {
-        return refuse(wsi, server, current, 411, "send a content-length instead of a transfer-encoding");
+        return refuse(wsi, server, current, 411,
+                      "send a content-length instead of a transfer-encoding");
     }
     const auto length = header_value(current.request.headers, "content-length");
     if (length.empty()) {
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -285,9 +285,9 @@
     entry.id = "t1";
     entry.service = "app";
     entry.started_ms = 5;
-    const auto start = time_point{} + std::chrono::hours{1};
-    const auto reset = start + std::chrono::seconds{10};
-    upsert_target(table, entry, start);
+    const auto begun = time_point{} + std::chrono::hours{1};
+    const auto reset = begun + std::chrono::seconds{10};
+    upsert_target(table, entry, begun);
     const auto survived = [&] { return has_survived(table, hash64("t1"), 5, reset); };
     auto& known = table.targets.at("t1");
     known.answered_at = reset + std::chrono::milliseconds{20};
