--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -9,9 +9,8 @@
 // a new instance stops waiting for an announced revision that no live instance can send it
 constexpr duration max_catch_up_time = std::chrono::seconds{6};
 // pauses after changes; a change that comes while a watch waits is delivered at once
-constexpr duration first_reader_pause = std::chrono::milliseconds{100};
-constexpr duration standby_pause = std::chrono::milliseconds{300};
-constexpr duration backup_pause = std::chrono::milliseconds{500};
+constexpr duration reader_pause = std::chrono::milliseconds{100};
+constexpr duration backup_pause = std::chrono::milliseconds{300};
 constexpr duration first_failure_pause = std::chrono::milliseconds{100};
 constexpr duration max_failure_pause = std::chrono::milliseconds{400};
 constexpr duration max_backup_failure_pause = std::chrono::milliseconds{800};
@@ -43,16 +42,10 @@
 
 auto pause_after_changes(store_duty duty) -> duration
 {
-    switch (duty) {
-    case store_duty::first_reader:
-        return first_reader_pause;
-    case store_duty::standby:
-        return standby_pause;
-    case store_duty::backup:
-    case store_duty::none:
-        break;
-    }
-    return backup_pause;
+    // a standby keeps the pace of the first reader: while it lags, all instances of the zone would
+    // fetch large changes from the first reader alone
+    const auto reads_for_zone = duty == store_duty::first_reader || duty == store_duty::standby;
+    return reads_for_zone ? reader_pause : backup_pause;
 }
 
 auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration
