Ask once whose response a head begins, and let twins in the server and the readers share one piece

Cause: found by reading the whole change again. The client asked the owner of a response twice for each head, which decodes its headers each time; the rule whether a connection stays open after a response and the step that begins to close it stood twice each; a reader's notice and a reader's state were two facts for one question; the suspect's crashes were copied to be counted. Change: owner_of is called once; stays_open, begin_close and reads_for_zone have one place; heard_reader_ alone says that a reader was heard; count_active asks whether the target survived. Behaviour and tests are as they were.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -123,7 +123,7 @@
     std::map<std::string, std::uint64_t> revisions_;
     /// When the first revision was announced.
     std::optional<time_point> first_announced_;
-    /// An instance that reads the store has sent all that it knows.
+    /// An instance that reads the store has sent a notice, or all that it knows.
     bool heard_reader_ = false;
     /// Highest revision announced until a reader's notice or state came or `announcement_time` was
     /// over.
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -264,7 +264,7 @@
     auto known = start_knowledge{};
     known.revision = state_.revision;
     known.newest_announced = newest_announced_;
-    known.heard_reader = heard_reader_ || last_notice_ != time_point{};
+    known.heard_reader = heard_reader_;
     known.since_first_announced =
         first_announced_ ? monotonic_now() - *first_announced_ : duration::zero();
     return known;
@@ -276,8 +276,8 @@
     if (!first_announced_ && seen.version > 0) {
         first_announced_ = now;
     }
-    const auto collecting = !heard_reader_ && last_notice_ == time_point{} && first_announced_ &&
-                            now - *first_announced_ < announcement_time;
+    const auto collecting =
+        !heard_reader_ && first_announced_ && now - *first_announced_ < announcement_time;
     if (collecting) {
         newest_announced_ = std::max(newest_announced_, seen.version);
     }
@@ -328,6 +328,7 @@
     case wire::envelope::kPublishedNotice:
         on_revision_seen({message.from_instance(), message.published_notice().revision(), 0, 0});
         last_notice_ = monotonic_now();
+        heard_reader_ = true;
         return;
     case wire::envelope::kPublishedPart:
         on_published_part(message.published_part());
--- a/src/limits/retries.cpp
+++ b/src/limits/retries.cpp
@@ -79,12 +79,14 @@
     return one.target_hash == other.target_hash && one.incarnation == other.incarnation;
 }
 
-// crashes that are neither cleared nor expired
-auto count_active(const std::vector<detail::counted_crash>& crashes, time_point now) -> std::size_t
+// crashes that are neither cleared nor expired, and that the target has not survived
+auto count_active(const std::vector<detail::counted_crash>& crashes, time_point now,
+                  const survival_test& survived = {}) -> std::size_t
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(crashes, [&](const detail::counted_crash& one) {
-            return !one.cleared && one.expires > now;
+            return !one.cleared && one.expires > now &&
+                   !(survived && survived(one.target_hash, one.incarnation, one.counted_at));
         }));
 }
 
@@ -224,11 +226,7 @@
     if (found == table.suspects.end()) {
         return suspicion::none;
     }
-    auto standing = found->second;
-    std::erase_if(standing, [&](const detail::counted_crash& one) {
-        return survived && survived(one.target_hash, one.incarnation, one.counted_at);
-    });
-    const auto crashes = count_active(standing, now);
+    const auto crashes = count_active(found->second, now, survived);
     if (crashes == 0) {
         return suspicion::none;
     }
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -15,6 +15,11 @@
 constexpr duration max_failure_pause = std::chrono::milliseconds{400};
 constexpr duration max_backup_failure_pause = std::chrono::milliseconds{800};
 
+auto reads_for_zone(store_duty duty) -> bool
+{
+    return duty == store_duty::first_reader || duty == store_duty::standby;
+}
+
 } // namespace
 
 auto store_readers(std::vector<std::string> zone_members) -> std::vector<std::string>
@@ -44,18 +49,16 @@
 {
     // a standby keeps the pace of the first reader: while it lags, all instances of the zone would
     // fetch large changes from the first reader alone
-    const auto reads_for_zone = duty == store_duty::first_reader || duty == store_duty::standby;
-    return reads_for_zone ? reader_pause : backup_pause;
+    return reads_for_zone(duty) ? reader_pause : backup_pause;
 }
 
 auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration
 {
     constexpr auto max_doublings = std::uint32_t{5};
     const auto doublings = std::min(std::max(failures, 1U) - 1, max_doublings);
-    const auto reads_for_zone = duty == store_duty::first_reader || duty == store_duty::standby;
     return std::min<duration>(first_failure_pause * (1U << doublings),
-                              reads_for_zone || !knows_store ? max_failure_pause
-                                                             : max_backup_failure_pause);
+                              reads_for_zone(duty) || !knows_store ? max_failure_pause
+                                                                   : max_backup_failure_pause);
 }
 
 auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -87,7 +87,7 @@
     auto on_closed(close_reason reason) -> void;
     auto on_head() -> void;
     auto on_body(std::string_view bytes) -> void;
-    auto is_foreign(const response_head& head) const -> bool;
+    auto owner_of(const response_head& head) const -> response_owner;
     auto check_skipped() -> void;
     /// Ends the exchange after a complete response. The connection is kept for another request
     /// unless the peer sent further bytes.
@@ -192,17 +192,18 @@
     }
 }
 
-auto client_connection::is_foreign(const response_head& head) const -> bool
+auto client_connection::owner_of(const response_head& head) const -> response_owner
 {
-    const auto owner = handlers.identify ? handlers.identify(head) : response_owner::own;
-    return owner == response_owner::other || (owner == response_owner::unidentified && reused);
+    return handlers.identify ? handlers.identify(head) : response_owner::own;
 }
 
 auto client_connection::on_head() -> void
 {
     auto& head = parser->response();
     const auto interim = head.status / 100 == 1;
-    skipping = interim || !busy || is_foreign(head);
+    const auto owner = interim || !busy ? response_owner::other : owner_of(head);
+    // on a reused connection an unidentified response may be a late copy of an earlier one
+    skipping = owner == response_owner::other || (owner == response_owner::unidentified && reused);
     if (skipping) {
         reusable = reusable && interim;
         ++skipped_responses;
@@ -210,7 +211,7 @@
         return;
     }
     // a late copy of an unidentified response could not be told from the next request's own
-    const auto identified = !handlers.identify || handlers.identify(head) == response_owner::own;
+    const auto identified = owner == response_owner::own;
     reusable = reusable && head.keep_alive && !head.until_close && identified;
     if (const auto seconds = keep_alive_seconds(head.fields)) {
         idle_limit =
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -74,6 +74,9 @@
     auto on_closed() -> void;
     auto reject(int status) -> void;
     auto next_request() -> void;
+    auto begin_close() -> void;
+    /// Whether the connection stays open after the response that is about to be sent.
+    auto stays_open() const -> bool;
     /// Closes the own end after the last response, and the connection when the caller has done so.
     auto close_after_response() -> void;
     auto close() -> void;
@@ -230,10 +233,13 @@
     head.status = status;
     head.keep_alive = false;
     tcp.send(write_response_head(head, body_framing::length, 0));
-    closing = true;
-    if (tcp.unsent_bytes() == 0) {
-        close_after_response();
-    }
+    begin_close();
+}
+
+auto server_connection::stays_open() const -> bool
+{
+    const auto owner = server.lock();
+    return keep_alive && owner && (!owner->draining || has_received_more());
 }
 
 auto server_connection::next_request() -> void
@@ -241,10 +247,7 @@
     answering = nullptr;
     idle_since = monotonic_now();
     if (!keep_alive) {
-        closing = true;
-        if (tcp.unsent_bytes() == 0) {
-            close_after_response();
-        }
+        begin_close();
         return;
     }
     tcp.set_reading(true);
@@ -259,6 +262,15 @@
     }
 }
 
+/// Takes no further request and closes the own end once the last response has been sent.
+auto server_connection::begin_close() -> void
+{
+    closing = true;
+    if (tcp.unsent_bytes() == 0) {
+        close_after_response();
+    }
+}
+
 auto server_connection::close_after_response() -> void
 {
     if (std::exchange(lingering, true)) {
@@ -343,9 +355,7 @@
         return;
     }
     answered_ = true;
-    const auto owner = connection_->server.lock();
-    const auto last = !owner || (owner->draining && !connection_->has_received_more());
-    connection_->keep_alive = connection_->keep_alive && response.keep_alive && !last;
+    connection_->keep_alive = connection_->stays_open() && response.keep_alive;
     response.keep_alive = connection_->keep_alive;
     auto text = write_response_head(response, body_framing::length, content.size());
     if (head.method != "HEAD") {
@@ -360,9 +370,7 @@
     if (answered_ || std::exchange(answer_started_, true)) {
         return;
     }
-    const auto owner = connection_->server.lock();
-    const auto last = !owner || (owner->draining && !connection_->has_received_more());
-    connection_->keep_alive = connection_->keep_alive && !last;
+    connection_->keep_alive = connection_->stays_open();
     response.keep_alive = connection_->keep_alive;
     connection_->tcp.send(write_response_head(response, body_framing::chunked, 0));
 }
