--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr auto bad_gateway = 502;
-constexpr auto service_unavailable = 503;
-constexpr auto gateway_timeout = 504;
 constexpr auto misdirected = 421;
 constexpr auto request_timeout = 408;
 constexpr auto too_many_requests = 429;
@@ -46,11 +43,6 @@
            status == request_timeout || status == misdirected;
 }
 
-auto milliseconds_text(duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 } // namespace
 
 auto forward_job::time_left() const -> duration
@@ -519,149 +511,4 @@
     }
 }
 
-auto forward_job::pass_answer() -> void
-{
-    if (exchange->answer_started()) {
-        give_up(bad_gateway, "stream_lost");
-        return;
-    }
-    auto head = answer_head;
-    drop_hop_by_hop_fields(head.fields);
-    head.keep_alive = true;
-    exchange->respond(std::move(head), answer_body);
-    finish(answer_head.status, answer.not_executed ? "not_run" : "answered", "target_answer");
-}
-
-auto forward_job::refuse(std::string_view cause) -> void
-{
-    // a 503 states that the request did not run, so it must not be sent when it may have run
-    if (runs > 0 || exchange->answer_started()) {
-        give_up(bad_gateway, cause);
-        return;
-    }
-    const auto random = static_cast<double>(state.random() % 1000) / 1000;
-    send_local_reply(service_unavailable, retry_after_delay(time_left(), random), cause);
-}
-
-auto forward_job::give_up(int status, std::string_view cause) -> void
-{
-    if (exchange->answer_started()) {
-        exchange->abort();
-        finish(status, "cut", cause);
-        return;
-    }
-    send_local_reply(status, {}, cause);
-}
-
-auto forward_job::send_local_reply(int status, duration retry_after, std::string_view cause) -> void
-{
-    exchange->respond(state.codec.encode_local_reply(status, retry_after), {});
-    finish(status, status == service_unavailable ? "not_run" : "unknown", cause);
-}
-
-auto forward_job::on_deadline() -> void
-{
-    abandon("time_over");
-}
-
-auto forward_job::abandon(std::string_view cause) -> void
-{
-    const auto self = shared_from_this();
-    const auto may_have_run = in_flight && attempt.sent();
-    attempt.cancel();
-    if (may_have_run) {
-        ++runs;
-    }
-    release_target(target_outcome::cancelled);
-    if (runs > 0 || exchange->answer_started()) {
-        give_up(gateway_timeout, cause);
-        return;
-    }
-    refuse(cause);
-}
-
-auto forward_job::on_caller_gone() -> void
-{
-    const auto self = shared_from_this();
-    attempt.cancel();
-    release_target(target_outcome::cancelled);
-    constexpr auto client_closed = 499;
-    finish(client_closed, "caller_gone", "caller_closed");
-}
-
-auto forward_job::log_outcome(int status, std::string_view outcome_name, std::string_view cause)
-    -> void
-{
-    const auto now = monotonic_now();
-    const auto first = first_byte_at == time_point{} ? duration::zero() : first_byte_at - arrived;
-    log_event(log_level::info, "request",
-              {{"request", request.id},
-               {"route", matched_route->name},
-               {"kind", std::string(name_in(route_kind_names, matched_route->kind))},
-               {"organisation", organisation_name},
-               {"config", std::to_string(routes->version)},
-               {"target", target_id},
-               {"status", std::to_string(status)},
-               {"outcome", std::string{outcome_name}},
-               {"cause", std::string{cause}},
-               {"sends", std::to_string(attempts)},
-               {"runs", std::to_string(runs)},
-               {"events", std::to_string(events.passed)},
-               {"first_ms", milliseconds_text(first)},
-               {"took_ms", milliseconds_text(now - arrived)}});
-}
-
-auto forward_job::record_metrics(std::string_view outcome_name, std::string_view cause) -> void
-{
-    const auto kind = std::string(name_in(route_kind_names, matched_route->kind));
-    const auto seconds = [this](time_point until) {
-        return std::chrono::duration<double>(until - arrived).count();
-    };
-    state.metrics
-        .counter_of("cyclamenpost_requests_total", "Requests by kind and outcome.",
-                    {{"kind", kind}, {"outcome", std::string{outcome_name}}})
-        .add();
-    state.metrics
-        .histogram_of("cyclamenpost_request_duration_seconds",
-                      "Time from a request's first byte to its end.", {{"kind", kind}})
-        .observe(seconds(monotonic_now()));
-    if (first_byte_at != time_point{}) {
-        state.metrics
-            .histogram_of("cyclamenpost_first_byte_seconds",
-                          "Time from a request's first byte to the answer's.", {{"kind", kind}})
-            .observe(seconds(first_byte_at));
-    }
-    if (outcome_name != "answered") {
-        state.metrics
-            .counter_of("cyclamenpost_unserved_total", "Requests not served, by cause.",
-                        {{"cause", std::string{cause}}})
-            .add();
-    }
-}
-
-auto forward_job::finish(int status, std::string_view outcome_name, std::string_view cause) -> void
-{
-    if (std::exchange(finished, true)) {
-        return;
-    }
-    const auto now = monotonic_now();
-    constexpr auto first_failure = 300;
-    const auto served = outcome_name == "answered" && status < first_failure;
-    if (!served || sample_line(state.sampler, now)) {
-        log_outcome(status, outcome_name, cause);
-    }
-    record_metrics(outcome_name, cause);
-    if (outcome_name == "answered") {
-        clear_crash_reports(state.view.suspects, fingerprint, now);
-    }
-    exchange->on_cancelled = nullptr;
-    exchange->on_sent = nullptr;
-    deadline_timer.reset();
-    attempt_timer.reset();
-    wait_timer.reset();
-    attempt.cancel();
-    hold_bytes(state.buffered, held_bytes, 0);
-    state.jobs.erase(shared_from_this());
-}
-
 } // namespace cyclamenpost::detail
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -40,6 +40,13 @@
 
 namespace detail {
 
+inline constexpr auto bad_gateway = 502;
+inline constexpr auto service_unavailable = 503;
+inline constexpr auto gateway_timeout = 504;
+
+/// The whole milliseconds of a time span, for log lines.
+auto milliseconds_text(duration span) -> std::string;
+
 /// One request, from its arrival to the end of its answer, with all attempts at targets.
 struct forward_job : std::enable_shared_from_this<forward_job> {
     forwarder::state& state;
