Build the fake target's heads in one place and name what discard_answer does

Cause: two heads of the fake target were built alike; store_reader::fail_listing also served answers of a watch, which it does not start anew. Change: answer_head; fail_listing is discard_answer. Behaviour is as it was.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -27,6 +27,15 @@
     return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
 }
 
+/// Head of an answer to the request, with its id.
+auto answer_head(const request_head& request, int status) -> response_head
+{
+    auto head = response_head{};
+    head.status = status;
+    head.fields.push_back({"X-Attempt-Id", field_text(request, "X-Attempt-Id")});
+    return head;
+}
+
 } // namespace
 
 fake_target::fake_target(event_loop& loop, std::string id, std::string service, std::string zone)
@@ -108,9 +117,7 @@
 
 auto fake_target::head_for(const run& current, int status) const -> response_head
 {
-    auto head = response_head{};
-    head.status = status;
-    head.fields.push_back({"X-Attempt-Id", field_text(current.exchange->head, "X-Attempt-Id")});
+    auto head = answer_head(current.exchange->head, status);
     if (mode_ == target_mode::encoded) {
         head.fields.push_back({"Content-Encoding", "gzip"});
     }
@@ -124,18 +131,14 @@
 {
     last_request_ = exchange->head;
     if (field_text(exchange->head, "X-Expect-Instance") != id_) {
-        auto head = response_head{};
-        head.status = status_misdirected;
+        auto head = answer_head(exchange->head, status_misdirected);
         head.fields.push_back({"X-Instance-Id", id_});
-        head.fields.push_back({"X-Attempt-Id", field_text(exchange->head, "X-Attempt-Id")});
         exchange->respond(std::move(head), {});
         return;
     }
     if (mode_ == target_mode::full) {
-        auto head = response_head{};
-        head.status = status_unavailable;
+        auto head = answer_head(exchange->head, status_unavailable);
         head.fields.push_back({"X-Not-Executed", "1"});
-        head.fields.push_back({"X-Attempt-Id", field_text(exchange->head, "X-Attempt-Id")});
         exchange->respond(std::move(head), {});
         return;
     }
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -75,8 +75,9 @@
         -> void;
     auto add_body(std::string_view bytes) -> void;
     auto handle_failure(std::string_view cause) -> void;
-    /// Starts the listing anew after an answer that cannot be used.
-    auto fail_listing(std::string_view cause) -> void;
+    /// Drops an answer that cannot be used, and the listing that it is part of, and calls again
+    /// after a pause.
+    auto discard_answer(std::string_view cause) -> void;
     auto set_available(bool now_available, std::string_view cause) -> void;
 
     event_loop& loop_;
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -147,11 +147,11 @@
     if (body_.size() > max_answer_bytes) {
         exchange_.cancel();
         timeout_timer_.reset();
-        fail_listing("answer_too_large");
+        discard_answer("answer_too_large");
     }
 }
 
-auto store_reader::fail_listing(std::string_view cause) -> void
+auto store_reader::discard_answer(std::string_view cause) -> void
 {
     body_.clear();
     page_after_.clear();
@@ -173,17 +173,17 @@
 {
     const auto page = status_ == ok ? codec_.decode_listing(body_) : std::nullopt;
     if (!page) {
-        fail_listing("status_" + std::to_string(status_));
+        discard_answer("status_" + std::to_string(status_));
         return;
     }
     listing_bytes_ += body_.size();
     if (listing_bytes_ > max_listing_bytes) {
-        fail_listing("listing_too_large");
+        discard_answer("listing_too_large");
         return;
     }
     // a page that does not go on behind the one before would be read without end
     if (!page_after_.empty() && !page->items.empty() && page->items.back().key <= page_after_) {
-        fail_listing("pages_not_ascending");
+        discard_answer("pages_not_ascending");
         return;
     }
     set_available(true, "listed");
