Count choices above the load bound by whether warming targets had quota left

Logs and metrics could not tell the hypotheses of docs/incidents/load-bound.md apart: an instance that sends above the load bound because the targets that are warming up have had their quota, and one that believes wrong loads. target_chosen now carries over_bound and cold_without_quota, and a counter splits choices above the bound by the latter. No decision changes; unit-target_choice has a test of the two fields.

--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -72,8 +72,12 @@
     /// chosen one does not.
     const target* alternate_holder = nullptr;
     bool same_zone = false;
+    /// The chosen target is above the load bound, so no target below it could be chosen.
+    bool over_bound = false;
     /// Eligible targets of the service.
     std::size_t candidate_count = 0;
+    /// Eligible targets that are warming up and whose quota is used up.
+    std::size_t cold_without_quota = 0;
 };
 
 /// Whether other targets may fetch cached prompt prefixes from the target: it is healthy, even if
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -139,9 +139,19 @@
                {"load", std::to_string(choice.load)},
                {"mean", std::to_string(choice.mean_load)},
                {"candidates", std::to_string(choice.candidate_count)},
+               {"cold_without_quota", std::to_string(choice.cold_without_quota)},
+               {"over_bound", choice.over_bound ? "1" : "0"},
                {"holder", choice.is_holder ? "1" : "0"},
                {"fetch_from", metadata.prompt_cache_source},
                {"same_zone", choice.same_zone ? "1" : "0"}});
+    if (choice.over_bound) {
+        state.metrics
+            .counter_of("cyclamenpost_over_bound_choices_total",
+                        "Requests sent to a target above the load bound, by whether targets that "
+                        "were warming up had no quota left.",
+                        {{"cold_without_quota", choice.cold_without_quota > 0 ? "1" : "0"}})
+            .add();
+    }
     auto outgoing = outgoing_request{};
     outgoing.address = chosen.published.address;
     outgoing.head = state.codec.encode_request(exchange->head, metadata);
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -153,6 +153,7 @@
                                : cold_quota{};
         if (warming && !cold_quota_allows(table, known, share, now)) {
             choice.reason = std::max(choice.reason, no_target_reason::all_cold);
+            ++choice.cold_without_quota;
             continue;
         }
         entry.available = true;
@@ -196,6 +197,7 @@
     if (choice.chosen != nullptr) {
         choice.reason = no_target_reason::none;
         choice.is_holder = choice.chosen == holder;
+        choice.over_bound = exceeds_load_bound(choice.load, choice.mean_load, weights);
         if (query.prefix_hash != 0) {
             choice.alternate_holder =
                 find_alternate_holder(table, ids->second, query, choice.chosen, now);
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -303,3 +303,22 @@
     upsert_target(table, entry, later);
     CHECK_FALSE(survived());
 }
+
+TEST_CASE(
+    "target_choice: a choice above the load bound says whether cold targets had no quota left")
+{
+    auto table = make_table(2);
+    table.targets.at("t0").load = reported_load{40, start};
+    auto query = choice_query{};
+    query.service = "engine";
+    query.cold_per_second = 20;
+    const auto members = std::vector<std::string>{};
+    query.members = &members;
+    CHECK(!choose_target(table, query, {}, start).over_bound);
+    table.targets.at("t1").cold_until = start + 3s;
+    const auto choice = choose_target(table, query, {}, start);
+    REQUIRE(choice.chosen != nullptr);
+    CHECK(choice.chosen->published.id == "t0");
+    CHECK(choice.over_bound);
+    CHECK(choice.cold_without_quota == 1);
+}
