Count the quota of a warming target over one second

Cause: the quota of a second was counted over 1.3 s, as a margin for requests that are delayed in transit, on top of the half of the allowance that is held in reserve. Either is enough by itself: a fleet that agrees on its members sends half of the allowance a second, so requests of two seconds that arrive in one stay within it.

The test of two halves of a split fleet holds as it was.

--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -9,11 +9,12 @@
 
 // unlisted targets are kept this long, so that late answers can still be attributed to them
 constexpr duration unlisted_retention = std::chrono::seconds{30};
-// the cold quota is per second; the margin covers requests that are delayed in transit
-constexpr duration cold_quota_window = std::chrono::milliseconds{1300};
+// the cold quota is per second; the reserve below also covers requests that are delayed in transit
+constexpr duration cold_quota_window = std::chrono::seconds{1};
 // maximum number of instances that share the allowance of one cold target
 constexpr std::size_t max_cold_sharers = 6;
-// share of the allowance that is divided; the rest is a reserve for disagreement about the members
+// share of the allowance that is divided; the rest is a reserve for disagreement about the members,
+// or for requests of two seconds that arrive in one
 constexpr double divided_cold_share = 0.5;
 // answers that a target sent before it crashed have arrived after this time
 constexpr duration answer_transit_time = std::chrono::milliseconds{50};
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <cmath>
 #include <map>
+#include <random>
 
 #include <doctest/doctest.h>
 
@@ -265,6 +267,48 @@
     CHECK(chosen_id(table, query, start + 3s) == "t0");
 }
 
+TEST_CASE(
+    "target_choice: a fleet uses a cold target's quota each second, and delays in transit do not "
+    "add up to more than its allowance")
+{
+    constexpr auto allowance = 35;
+    constexpr auto max_delay_ms = 300; // the time limit for a connection
+    auto members = std::vector<std::string>{};
+    auto tables = std::vector<target_table>{};
+    for (auto index = 0; index < 9; ++index) {
+        members.push_back("i" + std::to_string(index));
+        auto& table = tables.emplace_back(make_table(0));
+        auto entry = make_target("t0", "a");
+        entry.cold_remaining = 1min;
+        upsert_target(table, entry, start);
+    }
+    auto random = std::mt19937_64{1};
+    auto sent = 0;
+    auto arrivals = std::vector<time_point>{};
+    for (auto now = start; now < start + 10s; now += 5ms) {
+        for (std::size_t index = 0; index < members.size(); ++index) {
+            auto query = choice_query{};
+            query.service = "engine";
+            query.cold_per_second = 20;
+            query.own_id = members[index];
+            query.members = &members;
+            const auto choice = choose_target(tables[index], query, {}, now);
+            if (choice.chosen != nullptr) {
+                begin_request(tables[index], *choice.chosen, now);
+                ++sent;
+                arrivals.push_back(now + std::chrono::milliseconds{random() % max_delay_ms});
+            }
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    for (const auto first : arrivals) {
+        const auto in_one_second = std::upper_bound(arrivals.begin(), arrivals.end(), first + 1s) -
+                                   std::lower_bound(arrivals.begin(), arrivals.end(), first);
+        CHECK(in_one_second <= allowance);
+    }
+    CHECK(sent >= 10 * (allowance / 2) - 1);
+}
+
 TEST_CASE("target_choice: a restart under a known id discards the previous load and failures")
 {
     auto table = make_table(1);
