Stop requests whose content crashes targets at every instance of the entry

Cause: three gaps of one kind, evidence that never comes together. A crash counted only if it reset a connection before the head of an answer; these targets end connections cleanly, mostly after the head (19 resets among 1,805 lost answers). A suspect was a whole request, so requests that share a part never met. Reports were sent once, to the members known then, and what spoke for a request was not sent at all.

Change: the request path records ends of targets before a second event or the end of an answer, and answers that got that far, under the keys of prompt parts and whole content (crash_evidence). crash_monitor sends own crashes to all after 50 ms and all that matters to two peers at random each 0.5 s, which also reaches instances that start later or are cut off from some. Blocked content is refused on arrival and before each attempt; attempts that wait at a target are withdrawn. strike messages and the table of suspects remain for cyclamenpostd. The test of survived crashes moves from unit-retries to unit-crash_evidence with the function that it tests; has_survived finds its target by key instead of a walk over all.

Tests: unit-crash_monitor (sockets, three instances, 28 targets) fails with the old detection (content is never blocked) and with the stop taken out (14 of 14 targets crash).

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -109,6 +109,23 @@
     return last_request_;
 }
 
+auto fake_target::set_deadly_text(std::string text) -> void
+{
+    deadly_text_ = std::move(text);
+}
+
+auto fake_target::crashed() const -> bool
+{
+    return server_ == nullptr;
+}
+
+auto fake_target::is_deadly(const request_head& head) const -> bool
+{
+    return !deadly_text_.empty() &&
+           (head.target.find(deadly_text_) != std::string::npos ||
+            field_text(head, "X-Prompt-Prefix").find(deadly_text_) != std::string::npos);
+}
+
 auto fake_target::crash() -> void
 {
     running_.clear();
@@ -155,6 +172,15 @@
 
 auto fake_target::answer(run& current) -> void
 {
+    if (is_deadly(current.exchange->head)) {
+        if (find_field(current.exchange->head.fields, "X-Prompt-Prefix")) {
+            auto head = head_for(current, status_ok);
+            head.fields.push_back({"Content-Type", "text/event-stream"});
+            current.exchange->begin_stream(std::move(head));
+        }
+        crash_timer_ = loop_.call_after(duration{1}, [this] { crash(); });
+        return;
+    }
     if (mode_ == target_mode::answer_lost) {
         current.exchange->abort();
         end_run(current);
--- a/fakes/lib/fake_target.hpp
+++ b/fakes/lib/fake_target.hpp
@@ -83,6 +83,12 @@
     /// Headers of the last request.
     auto last_request() const -> const request_head&;
 
+    /// Requests whose path or prompt holds this text crash the target when it begins the answer.
+    auto set_deadly_text(std::string text) -> void;
+
+    /// Whether the target has crashed.
+    auto crashed() const -> bool;
+
     /// Drops all connections and the listener, as a crash does.
     auto crash() -> void;
 
@@ -96,6 +102,7 @@
         std::uint64_t event = 1;
     };
 
+    auto is_deadly(const request_head& head) const -> bool;
     auto serve(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto answer(run& current) -> void;
     auto send_event(run& current) -> void;
@@ -112,6 +119,8 @@
     std::string address_;
     target_mode mode_ = target_mode::normal;
     duration delay_{};
+    std::string deadly_text_;
+    timer crash_timer_;
     std::map<std::string, int> run_counts_;
     std::list<run> running_;
     request_head last_request_;
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -5,6 +5,7 @@
 
 #include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/core/supervisor.hpp"
+#include "cyclamenpost/entry/crash_monitor.hpp"
 #include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/entry/fleet_view.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
@@ -77,6 +78,7 @@
     supervisor supervisor_;
     peers peers_;
     load_reporter loads_;
+    crash_monitor crashes_;
     store_reader store_;
     forwarder forwarder_;
     http1_server front_;
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/limits/retries.hpp"
 #include "cyclamenpost/routing/route_table.hpp"
 #include "cyclamenpost/routing/target_table.hpp"
@@ -32,8 +33,8 @@
     std::map<std::string, retry_budget, std::less<>> retry_budgets;
     /// This instance's part of the fleet's retry budget.
     retry_settings retries;
-    /// Requests that may crash targets.
-    suspect_table suspects;
+    /// What is known of requests that crash targets.
+    crash_evidence crashes;
     /// New requests are refused: a shutdown is under way and the cached directory answers that name
     /// this instance have expired. A request that arrives now might not finish in time.
     bool rejecting_requests = false;
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -65,8 +65,12 @@
     /// Ends all requests: those that certainly have not run are refused, the others get an error.
     auto end_all() -> void;
 
-    /// Sets the function that reports a target's crash during a request to the other instances.
-    auto on_crash_report(std::function<void(const crash_report&)> broadcast) -> void;
+    /// Sets the function that is called when a target has ended before it began an answer.
+    auto on_crash(std::function<void(const target_crash&)> report) -> void;
+
+    /// Ends the requests whose content has turned out to crash targets, except those that are being
+    /// answered.
+    auto stop_blocked() -> void;
 
 private:
     friend struct detail::forward_job;
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "cyclamenpost/entry/entry_settings.hpp"
-#include "cyclamenpost/limits/retries.hpp"
+#include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/membership/cluster_node.hpp"
 #include "cyclamenpost/routing/directory.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
@@ -23,8 +23,8 @@
     std::function<void(const changed_keys&, bool lapsing)> on_changed;
     /// The member list has changed.
     std::function<void()> on_members;
-    /// A peer reports that a target crashed during a request.
-    std::function<void(const crash_report&)> on_crash_report;
+    /// What a peer knows of crashed targets.
+    std::function<void(const shared_evidence&)> on_evidence;
     /// Load reports of a peer.
     std::function<void(const std::vector<shared_load>&, report_origin)> on_loads;
     /// Whether this instance reads the store and its last call was answered.
@@ -69,8 +69,11 @@
     /// Whether and how this instance has to read the store itself.
     auto duty() const -> store_duty;
 
-    /// Reports a target's crash during a request to all live instances.
-    auto broadcast_crash_report(const crash_report& seen) -> void;
+    /// Sends what is known of crashed targets to each of the given instances.
+    auto send_evidence(const std::vector<std::string>& to, const shared_evidence& known) -> void;
+
+    /// Ids of the other live instances.
+    auto live_peers() const -> std::vector<std::string>;
 
     /// Sends load reports to each of the given instances.
     auto send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
@@ -97,6 +100,7 @@
     auto fetch_source(std::uint64_t revision, const std::string& seen_at) const -> std::string;
     auto on_published_part(const wire::published_part& part) -> void;
     auto on_load_reports(const wire::envelope& message) -> void;
+    auto on_crash_report(const wire::envelope& message) -> void;
     auto fetch(const std::string& from) -> void;
     /// Sends the zone's followers a notice that this instance reads the store, with its revision.
     auto notify_zone() -> void;
--- a/include/cyclamenpost/limits/retries.hpp
+++ b/include/cyclamenpost/limits/retries.hpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -166,7 +165,6 @@
 struct counted_crash {
     std::uint64_t target_hash = 0;
     incarnation_id incarnation = 0;
-    time_point counted_at;
     time_point expires;
     bool cleared = false;
 };
@@ -185,15 +183,9 @@
 /// report is sent to peers and a repeated one is not.
 auto add_crash_report(suspect_table& table, const crash_report& seen, time_point now) -> bool;
 
-/// Tells whether a target incarnation, given by the hash of its id, is known to have answered after
-/// a time at which it was reported to have crashed: then only its answer was lost.
-using survival_test =
-    std::function<bool(std::uint64_t target_hash, incarnation_id incarnation, time_point reported)>;
-
-/// Suspicion of a fingerprint: crashes of two different target incarnations block it. Crashes that
-/// the target survived do not count.
-auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now,
-                  const survival_test& survived = {}) -> suspicion;
+/// Suspicion of a fingerprint: crashes of two different target incarnations block it.
+auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now)
+    -> suspicion;
 
 /// Clears a fingerprint whose request completed, here or at a peer. Returns whether it had crashes
 /// that counted.
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -128,9 +128,9 @@
 /// Deletes targets that have been unlisted for a while and have no requests in flight.
 auto purge_removed_targets(target_table& table, time_point now) -> void;
 
-/// Whether the incarnation of the target with the given id hash is known to have answered clearly
-/// after `reported`, when a connection to it was reset: it has not crashed then.
-auto has_survived(const target_table& table, std::uint64_t id_hash, std::int64_t started_ms,
+/// Whether the incarnation of the target with the given key (`name_key`) is known to have answered
+/// clearly after `reported`, when it ended a connection: it has not crashed then.
+auto has_survived(const target_table& table, std::uint32_t key, std::int64_t started_ms,
                   time_point reported) -> bool;
 
 /// Whether the target may receive new requests. Backoff, load and the cold quota are not checked.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -28,8 +28,6 @@
 // half of the allowed time to live, since some callers cache a directory answer for three times the
 // time that it states
 constexpr int directory_ttl_divisor = 2;
-// time during which callers may repeat a request that crashes targets
-constexpr duration suspect_lifetime = std::chrono::seconds{60};
 
 auto limits_of(const request_limits& limits) -> server_limits
 {
@@ -65,15 +63,14 @@
                   store_.restart_watch();
               },
               [this] { refresh_members(); },
-              [this](const crash_report& seen) {
-                  add_crash_report(view_.suspects, seen, monotonic_now());
-              },
+              [this](const shared_evidence& known) { crashes_.merge(known); },
               [this](const std::vector<shared_load>& loads, report_origin origin) {
                   merge_shared_loads(view_.targets, loads, origin, monotonic_now());
               },
               [this] { return store_.available(); },
               [this] { return store_.may_have_lapsed(store_return_window, monotonic_now()); }}),
       loads_(loop, peers_, view_.targets),
+      crashes_(loop, peers_, view_, metrics_, [this] { forwarder_.stop_blocked(); }),
       store_(loop, codec_, {settings_.store_address}, state_, {[this](const changed_keys& keys) {
                  on_changed(keys, store_.may_have_lapsed(store_return_window, monotonic_now()));
              }}),
@@ -95,7 +92,6 @@
       })
 {
     view_.own_id = settings_.peer_address;
-    view_.suspects.settings.lifetime = suspect_lifetime;
     apply_settings();
 }
 
@@ -122,6 +118,13 @@
                              },
                              [this] { loads_.stop(); },
                              {}});
+    root.children.push_back({"crashes",
+                             [this] {
+                                 crashes_.start();
+                                 return result<void>{};
+                             },
+                             [this] { crashes_.stop(); },
+                             {}});
     root.children.push_back(
         {"store", [this] { return start_store(); }, [this] { store_.stop(); }, {}});
     root.children.push_back(
@@ -143,8 +146,7 @@
     supervisor_.start(supervision_tree());
     hold_timer_ = loop_.call_every(hold_check_period, [this] { check_knowledge(); });
     maintenance_ = loop_.call_every(maintenance_period, [this] { maintain(); });
-    forwarder_.on_crash_report(
-        [this](const crash_report& seen) { peers_.broadcast_crash_report(seen); });
+    forwarder_.on_crash([this](const target_crash& seen) { crashes_.report(seen); });
 }
 
 auto entry_instance::start_store() -> result<void>
@@ -340,7 +342,6 @@
     check_knowledge();
     store_.set_duty(peers_.duty());
     purge_removed_targets(view_.targets, now);
-    expire_crash_reports(view_.suspects, now);
 }
 
 auto entry_instance::answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -21,6 +21,8 @@
 // latency objectives, since a silent target rarely recovers before the caller's deadline
 constexpr int silence_factor = 2;
 constexpr duration min_silence = std::chrono::milliseconds{1000};
+// events from which on the target has survived the beginning of the answer
+constexpr std::uint64_t events_underway = 2;
 // callers leave a stream after the longest of these: a fixed time, a multiple of the latency
 // objective, and a multiple of the pause between events that is on time
 constexpr duration min_caller_patience = std::chrono::seconds{2};
@@ -67,7 +69,8 @@
         std::min(matched_route->timeout, request.deadline.value_or(matched_route->timeout));
     deadline = arrived + std::max<duration>(limit - reply_margin, limit / 2);
     events.last_event = request.last_event_id;
-    fingerprint = request_fingerprint(organisation_name, exchange->head.target, exchange->body);
+    keys.push_back({request_fingerprint(organisation_name, exchange->head.target, exchange->body),
+                    whole_content_depth});
     exchange->on_cancelled = [this] { on_caller_gone(); };
     exchange->on_sent = [this] {
         if (std::exchange(paused, false)) {
@@ -75,14 +78,7 @@
         }
     };
     deadline_timer = call_later(time_left(), &forward_job::on_deadline);
-    const auto survived = [this](std::uint64_t target_hash, incarnation_id incarnation,
-                                 time_point reported) {
-        return has_survived(state.view.targets, target_hash, static_cast<std::int64_t>(incarnation),
-                            reported);
-    };
-    if (suspicion_of(state.view.suspects, fingerprint, monotonic_now(), survived) ==
-        suspicion::blocked) {
-        send_local_reply(service_unavailable, retry_after_delay(time_left(), 1), "crashes_targets");
+    if (stop_if_blocked()) {
         return;
     }
     if (service == nullptr) {
@@ -97,6 +93,9 @@
 
 auto forward_job::try_next() -> void
 {
+    if (stop_if_blocked()) {
+        return;
+    }
     auto query = query_targets();
     query.prefix_hash = affinity;
     query.prefix_tokens = shared_tokens;
@@ -167,6 +166,8 @@
     ++attempts;
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
+    passed_before = events.passed;
+    answer_underway = false;
     begin_resumed_stream(events);
 
     auto handlers = exchange_handlers{};
@@ -334,6 +335,9 @@
     const auto whole = filter_events(events, bytes);
     exchange->write(whole);
     note_progress();
+    if (events.passed >= passed_before + events_underway) {
+        note_answer_underway();
+    }
     if (events.gap || events.oversized) {
         break_off(events.gap ? "event_gap" : "event_too_large");
         return;
@@ -358,6 +362,7 @@
             end_attempt(attempt_end::lost, target_outcome::failed, "event_cut");
             return;
         }
+        note_answer_underway();
         release_target(target_outcome::succeeded);
         exchange->finish();
         finish(answer_head.status, "answered", "stream_complete");
@@ -373,6 +378,7 @@
         return;
     }
     ++runs;
+    note_answer_underway();
     if (success && (!answer.has_receipt || answer.encoded)) {
         end_attempt(attempt_end::lost, target_outcome::failed,
                     answer.has_receipt ? "encoded" : "no_receipt");
@@ -407,23 +413,63 @@
         return;
     }
     ++runs;
-    if (how == exchange_failure::reset && !head_seen) {
-        auto seen = crash_report{};
-        seen.fingerprint = fingerprint;
-        seen.target = target_id;
-        const auto found = state.view.targets.targets.find(target_id);
-        if (found != state.view.targets.targets.end()) {
-            seen.target_incarnation =
-                static_cast<incarnation_id>(found->second.published.started_ms);
-        }
-        if (add_crash_report(state.view.suspects, seen, monotonic_now()) &&
-            state.broadcast_crash_report) {
-            state.broadcast_crash_report(seen);
-        }
+    // a target that crashes may end its connections either way, also after the head of an answer
+    const auto closed = how == exchange_failure::reset || how == exchange_failure::cut_short;
+    if (closed && !answer_underway) {
+        note_crash();
     }
     end_attempt(attempt_end::lost, target_outcome::failed, name_in(exchange_failure_names, how));
 }
 
+auto forward_job::note_answer_underway() -> void
+{
+    if (std::exchange(answer_underway, true)) {
+        return;
+    }
+    for (const auto& key : keys) {
+        add_begun(state.view.crashes, {key.id, first_byte_at});
+    }
+}
+
+auto forward_job::note_crash() -> void
+{
+    auto seen = target_crash{name_key(target_id), 0, monotonic_now(), keys};
+    const auto found = state.view.targets.targets.find(target_id);
+    if (found != state.view.targets.targets.end()) {
+        seen.incarnation = static_cast<incarnation_id>(found->second.published.started_ms);
+    }
+    auto key_texts = std::string{};
+    for (const auto& key : keys) {
+        key_texts += (key_texts.empty() ? "" : ",") + to_hex(key.id);
+    }
+    log_event(
+        log_level::info, "target_ended_unbegun",
+        {{"request", request.id}, {"target", target_id}, {"content_keys", std::move(key_texts)}});
+    if (add_crash(state.view.crashes, seen) && state.report_crash) {
+        state.report_crash(seen);
+    }
+}
+
+auto forward_job::stop_if_blocked() -> bool
+{
+    if (answer_underway || !is_blocked(state.view.crashes, keys)) {
+        return false;
+    }
+    const auto self = shared_from_this();
+    const auto may_have_run = in_flight && attempt.sent();
+    attempt.cancel();
+    runs += may_have_run ? 1 : 0;
+    release_target(target_outcome::cancelled);
+    constexpr auto cause = "crashes_targets";
+    if (runs > 0 || exchange->answer_started()) {
+        give_up(bad_gateway, cause);
+        return true;
+    }
+    // the caller's other requests may be fine; this one is not before most of its time is over
+    send_local_reply(service_unavailable, retry_after_delay(time_left(), 1), cause);
+    return true;
+}
+
 auto forward_job::release_target(target_outcome health) -> void
 {
     attempt_timer.reset();
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -34,7 +34,7 @@
     std::set<std::shared_ptr<detail::forward_job>> jobs;
     /// Requests held while the instance is starting, in the order of their arrival.
     std::vector<std::shared_ptr<server_exchange>> held;
-    std::function<void(const crash_report&)> broadcast_crash_report;
+    std::function<void(const target_crash&)> report_crash;
     line_sampler sampler;
 };
 
@@ -66,8 +66,8 @@
     std::uint64_t affinity = 0;
     /// Tokens of the shared parts of the prompt.
     std::uint32_t shared_tokens = 0;
-    /// Identifies the request's content for crash suspicion.
-    std::uint64_t fingerprint = 0;
+    /// What the request has in common with others, for the evidence of crashes.
+    content_keys keys;
 
     // the current attempt
     client_exchange attempt;
@@ -83,6 +83,10 @@
     time_point last_progress{};
     /// Length of the answer's body, or number of its events, at that time.
     std::uint64_t progress = 0;
+    /// Events that had been passed on when the attempt began.
+    std::uint64_t passed_before = 0;
+    /// The target has begun the answer and gone on with it, so the request does not crash it.
+    bool answer_underway = false;
     /// The answer was found stalled once; it counts as stalled if the next look finds no progress.
     bool looked_stalled = false;
 
@@ -117,6 +121,12 @@
     auto on_answer_body(std::string_view bytes) -> void;
     auto on_answer_complete() -> void;
     auto on_attempt_failed(exchange_failure how) -> void;
+    /// Records that the target has begun the answer and gone on with it, once for each attempt.
+    auto note_answer_underway() -> void;
+    /// Records that the target ended before it had begun the answer.
+    auto note_crash() -> void;
+    /// Ends the request because its content crashes targets, unless its answer is underway.
+    auto stop_if_blocked() -> bool;
     /// The connection was not established in time, or the target has not answered in time.
     auto on_attempt_timeout() -> void;
     auto on_deadline() -> void;
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -141,9 +141,6 @@
         log_outcome(status, outcome_name, cause);
     }
     record_metrics(outcome_name, cause);
-    if (outcome_name == "answered") {
-        clear_crash_reports(state.view.suspects, fingerprint, now);
-    }
     exchange->on_cancelled = nullptr;
     exchange->on_sent = nullptr;
     deadline_timer.reset();
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t buffered_memory_divisor = 4;
 constexpr std::size_t answer_memory_divisor = 16;
 // a smaller or missing figure for the machine's memory must not make ordinary answers too large
+// parts of a prompt that are checked for crashing targets; prompts have a handful
+constexpr std::size_t max_prompt_keys = 16;
 constexpr std::size_t min_memory_bytes = std::size_t{32} << 20U;
 
 auto reject_request(const platform_codec& codec, server_exchange& exchange, int status,
@@ -51,7 +53,13 @@
 auto read_prompt(detail::forward_job& job) -> void
 {
     const auto last = shared_part_index(job.request);
-    if (!job.matched_route->prompt_affinity || !last) {
+    if (!last) {
+        return;
+    }
+    for (std::size_t index = 0; index <= std::min(*last, max_prompt_keys - 1); ++index) {
+        job.keys.push_back({job.request.prompt[index].id, static_cast<std::uint32_t>(index)});
+    }
+    if (!job.matched_route->prompt_affinity) {
         return;
     }
     job.affinity = job.request.prompt[*last].id | 1U;
@@ -122,9 +130,17 @@
     }
 }
 
-auto forwarder::on_crash_report(std::function<void(const crash_report&)> broadcast) -> void
+auto forwarder::on_crash(std::function<void(const target_crash&)> report) -> void
 {
-    state_->broadcast_crash_report = std::move(broadcast);
+    state_->report_crash = std::move(report);
+}
+
+auto forwarder::stop_blocked() -> void
+{
+    const auto running = state_->jobs;
+    for (const auto& job : running) {
+        job->stop_if_blocked();
+    }
 }
 
 auto forwarder::handle(std::shared_ptr<server_exchange> exchange) -> void
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -31,6 +31,12 @@
 // which spreads the load
 constexpr std::size_t max_pushed_bytes = 4000;
 
+auto age_in_ms(time_point at, time_point now) -> std::uint32_t
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(age, 0));
+}
+
 auto own_record(const entry_settings& settings) -> member_record
 {
     auto seed = std::random_device{};
@@ -200,17 +206,64 @@
     }
 }
 
-auto peers::broadcast_crash_report(const crash_report& seen) -> void
+auto peers::send_evidence(const std::vector<std::string>& to, const shared_evidence& known) -> void
 {
+    const auto now = monotonic_now();
     auto message = wire::envelope{};
-    message.mutable_strike()->set_fingerprint(seen.fingerprint);
-    message.mutable_strike()->set_target(seen.target);
-    message.mutable_strike()->set_target_incarnation(seen.target_incarnation);
+    auto& report = *message.mutable_crash_report();
+    for (const auto& crash : known.crashes) {
+        auto& seen = *report.add_crashes();
+        seen.set_target(crash.target);
+        seen.set_target_incarnation(crash.incarnation);
+        seen.set_age_ms(age_in_ms(crash.at, now));
+        for (const auto& key : crash.keys) {
+            seen.add_keys(key.id);
+            seen.add_depths(key.depth);
+        }
+    }
+    for (const auto& answer : known.begun) {
+        auto& seen = *report.add_begun();
+        seen.set_key(answer.key);
+        seen.set_age_ms(age_in_ms(answer.at, now));
+    }
+    for (const auto& id : to) {
+        cluster_.send(id, message);
+    }
+}
+
+auto peers::on_crash_report(const wire::envelope& message) -> void
+{
+    const auto now = monotonic_now();
+    auto known = shared_evidence{};
+    for (const auto& seen : message.crash_report().crashes()) {
+        if (seen.keys_size() != seen.depths_size()) {
+            log_event(log_level::warning, "crash_report_unreadable",
+                      {{"peer", message.from_instance()}});
+            return;
+        }
+        auto& crash = known.crashes.emplace_back();
+        crash.target = seen.target();
+        crash.incarnation = seen.target_incarnation();
+        crash.at = now - std::chrono::milliseconds{seen.age_ms()};
+        for (auto index = 0; index < seen.keys_size(); ++index) {
+            crash.keys.push_back({seen.keys(index), seen.depths(index)});
+        }
+    }
+    for (const auto& seen : message.crash_report().begun()) {
+        known.begun.push_back({seen.key(), now - std::chrono::milliseconds{seen.age_ms()}});
+    }
+    handlers_.on_evidence(known);
+}
+
+auto peers::live_peers() const -> std::vector<std::string>
+{
+    auto ids = std::vector<std::string>{};
     for (const auto& member : live_members(cluster_.membership())) {
         if (member.identity.id != settings_.peer_address) {
-            cluster_.send(member.identity.id, message);
+            ids.push_back(member.identity.id);
         }
     }
+    return ids;
 }
 
 auto peers::send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
@@ -333,9 +386,8 @@
     case wire::envelope::kPublishedPart:
         on_published_part(message.published_part());
         return;
-    case wire::envelope::kStrike:
-        handlers_.on_crash_report({message.strike().fingerprint(), message.strike().target(),
-                                   message.strike().target_incarnation()});
+    case wire::envelope::kCrashReport:
+        on_crash_report(message);
         return;
     case wire::envelope::kLoadReports:
         on_load_reports(message);
--- a/src/limits/retries.cpp
+++ b/src/limits/retries.cpp
@@ -79,14 +79,12 @@
     return one.target_hash == other.target_hash && one.incarnation == other.incarnation;
 }
 
-// crashes that are neither cleared nor expired, and that the target has not survived
-auto count_active(const std::vector<detail::counted_crash>& crashes, time_point now,
-                  const survival_test& survived = {}) -> std::size_t
+// crashes that are neither cleared nor expired
+auto count_active(const std::vector<detail::counted_crash>& crashes, time_point now) -> std::size_t
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(crashes, [&](const detail::counted_crash& one) {
-            return !one.cleared && one.expires > now &&
-                   !(survived && survived(one.target_hash, one.incarnation, one.counted_at));
+            return !one.cleared && one.expires > now;
         }));
 }
 
@@ -197,7 +195,7 @@
 auto add_crash_report(suspect_table& table, const crash_report& seen, time_point now) -> bool
 {
     expire_crash_reports(table, now);
-    const auto counted = detail::counted_crash{hash64(seen.target), seen.target_incarnation, now,
+    const auto counted = detail::counted_crash{hash64(seen.target), seen.target_incarnation,
                                                now + table.settings.lifetime, false};
     if (!table.suspects.contains(seen.fingerprint)) {
         evict_to_limit(table);
@@ -219,14 +217,14 @@
     return true;
 }
 
-auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now,
-                  const survival_test& survived) -> suspicion
+auto suspicion_of(const suspect_table& table, std::uint64_t fingerprint, time_point now)
+    -> suspicion
 {
     const auto found = table.suspects.find(fingerprint);
     if (found == table.suspects.end()) {
         return suspicion::none;
     }
-    const auto crashes = count_active(found->second, now, survived);
+    const auto crashes = count_active(found->second, now);
     if (crashes == 0) {
         return suspicion::none;
     }
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -95,14 +95,14 @@
     }
 }
 
-auto has_survived(const target_table& table, std::uint64_t id_hash, std::int64_t started_ms,
+auto has_survived(const target_table& table, std::uint32_t key, std::int64_t started_ms,
                   time_point reported) -> bool
 {
-    return std::any_of(table.targets.begin(), table.targets.end(), [&](const auto& entry) {
-        const auto& known = entry.second;
-        return known.published.started_ms == started_ms &&
-               known.answered_at > reported + answer_transit_time && hash64(entry.first) == id_hash;
-    });
+    const auto id = table.id_by_key.find(key);
+    const auto found =
+        id == table.id_by_key.end() ? table.targets.end() : table.targets.find(id->second);
+    return found != table.targets.end() && found->second.published.started_ms == started_ms &&
+           found->second.answered_at > reported + answer_transit_time;
 }
 
 auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool
