Take a stream that ends with its connection before any event for broken off

What callers saw: a target that crashes when it begins an answer without a length closes the connection cleanly after the head; the caller got a complete, empty stream with status 200. It would also have spoken for the content that crashes targets, which is then never blocked.

Cause: a clean end of the connection ends an answer without a length, and an event filter without bytes is at the boundary of an event. Such a stream now counts as lost unless an event came, and as the target's end while the answer was not underway; an answer that only its connection ends no longer speaks for its content, unless two events came. Class: an end that is taken for an answer because nothing contradicts it. Looked for elsewhere: a plain answer without a length and with an empty body stays as it is, since HTTP allows it and nothing tells the two apart; no length and some events also stays (docs/platform.md).

Test: unit-crash_monitor 'a stream without a length that ends before its first event is not complete' fails before (the caller's answer is complete, no crash is recorded) and passes now.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -38,6 +38,14 @@
 // an answer about a missed deadline is sent this long before the request's time limit ends
 constexpr duration reply_margin = std::chrono::milliseconds{20};
 
+/// Whether only the end of the connection ends the answer, so that a target that crashes may seem
+/// to have finished it.
+auto ends_with_connection(const response_head& head) -> bool
+{
+    return !find_field(head.fields, "Content-Length") &&
+           !find_field(head.fields, "Transfer-Encoding");
+}
+
 /// Whether callers take the status for a promise that the request has not run and never will.
 auto promises_not_run(int status) -> bool
 {
@@ -358,11 +366,19 @@
     const auto success = answer_head.status / 100 == 2;
     if (streaming_events) {
         ++runs;
-        if (!at_event_boundary(events)) {
-            end_attempt(attempt_end::lost, target_outcome::failed, "event_cut");
+        const auto closed = ends_with_connection(answer_head);
+        const auto empty = closed && events.passed == passed_before;
+        if (empty || !at_event_boundary(events)) {
+            if (closed && !answer_underway) {
+                note_crash();
+            }
+            end_attempt(attempt_end::lost, target_outcome::failed,
+                        empty ? "stream_empty" : "event_cut");
             return;
         }
-        note_answer_underway();
+        if (!closed) {
+            note_answer_underway();
+        }
         release_target(target_outcome::succeeded);
         exchange->finish();
         finish(answer_head.status, "answered", "stream_complete");
@@ -378,7 +394,9 @@
         return;
     }
     ++runs;
-    note_answer_underway();
+    if (!ends_with_connection(answer_head)) {
+        note_answer_underway();
+    }
     if (success && (!answer.has_receipt || answer.encoded)) {
         end_attempt(attempt_end::lost, target_outcome::failed,
                     answer.has_receipt ? "encoded" : "no_receipt");
--- a/tests/unit-crash_monitor.cpp
+++ b/tests/unit-crash_monitor.cpp
@@ -123,33 +123,78 @@
     CHECK(crashed_targets() == crashed);
 }
 
+namespace {
+
+/// The request path of one instance, with targets that the test adds.
+struct lone_forwarder : fleet_fixture {
+    platform_codec codec = platform::make_codec();
+    fleet_view view;
+    metric_registry metrics;
+    std::unique_ptr<forwarder> path;
+    std::unique_ptr<http1_server> front;
+
+    lone_forwarder()
+    {
+        view.own_id = "own";
+        view.up_to_date = true;
+        auto sample = fakes::sample_configuration{};
+        sample.api_keys = {"key-1"};
+        view.routes = std::make_shared<const route_table>(
+            *codec.decode_configuration(fakes::to_text(sample)));
+        path = std::make_unique<forwarder>(loop, codec, view, forwarder_settings{}, metrics);
+        front = std::make_unique<http1_server>(loop, server_limits{},
+                                               [this](std::shared_ptr<server_exchange> exchange) {
+                                                   path->handle(std::move(exchange));
+                                               });
+        settings.emplace_back().front_address = free_address(loop);
+        check([&] { return front->listen(settings[0].front_address); });
+    }
+};
+
+/// A target that sends the same bytes to each request and closes the connection cleanly.
+struct closing_target {
+    tcp_listener listener;
+    std::list<tcp_connection> accepted;
+    std::string answer;
+
+    closing_target(event_loop& loop, const std::string& address)
+    {
+        fleet_fixture::check([&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(
+                listener, tcp_listener::open(
+                              loop, address, [this](tcp_connection opened, const std::string&) {
+                                  auto& connection = accepted.emplace_back(std::move(opened));
+                                  connection.set_handlers({{},
+                                                           [this, &connection](std::string_view) {
+                                                               connection.send(answer);
+                                                               connection.finish_sending();
+                                                           },
+                                                           {},
+                                                           {}});
+                              }));
+            return {};
+        });
+    }
+};
+
+auto stream_head() -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: q1\r\nX-Server-Seal: s\r\n"
+           "Content-Type: text/event-stream\r\n\r\n";
+}
+
+} // namespace
+
 TEST_CASE_FIXTURE(
-    fleet_fixture,
+    lone_forwarder,
     "crash_monitor: a request that a target has not begun to answer is withdrawn when "
     "its content turns out to crash targets")
 {
     auto& engine = add_target("engine-1", "engine");
     engine.set_delay(std::chrono::milliseconds{500});
-    auto codec = platform::make_codec();
-    auto view = fleet_view{};
-    view.own_id = "own";
-    view.up_to_date = true;
-    auto sample = fakes::sample_configuration{};
-    sample.api_keys = {"key-1"};
-    view.routes =
-        std::make_shared<const route_table>(*codec.decode_configuration(fakes::to_text(sample)));
     upsert_target(view.targets, *codec.decode_target(engine.id(), engine.store_entry()),
                   monotonic_now());
-    auto metrics = metric_registry{};
-    auto path = forwarder{loop, codec, view, {}, metrics};
-    auto front = http1_server{loop, {}, [&](std::shared_ptr<server_exchange> exchange) {
-                                  path.handle(std::move(exchange));
-                              }};
-    settings.emplace_back().front_address = free_address(loop);
-    check([&] { return front.listen(settings[0].front_address); });
-
     auto call = caller_call{};
-    prompt = "a1:500,b2:4000,c3:100";
     send(call, "/quote/1");
     wait([&] { return engine.running_requests() == 1; });
     const auto now = monotonic_now();
@@ -157,7 +202,37 @@
         add_crash(view.crashes, {target, 1, now - std::chrono::seconds{2}, {{0xb2, 1}}});
     }
     REQUIRE(update_blocked(view.crashes, now, {}));
-    path.stop_blocked();
+    path->stop_blocked();
     wait([&] { return call.ended() && engine.running_requests() == 0; });
     CHECK(call.head.status == 502);
 }
+
+TEST_CASE_FIXTURE(
+    lone_forwarder,
+    "crash_monitor: a stream without a length that ends before its first event is not "
+    "complete, and counts as the target's end")
+{
+    auto entry = published_target{};
+    entry.id = "engine-1";
+    entry.service = "engine";
+    entry.zone = "a";
+    entry.address = free_address(loop);
+    entry.started_ms = 1;
+    upsert_target(view.targets, entry, monotonic_now());
+    auto target = closing_target{loop, entry.address};
+    for (const auto* events : {"", "id: 1\nda"}) {
+        view.crashes = {};
+        target.answer = stream_head() + events;
+        const auto call = ask("/quote/1", 0, "key-1", "q1");
+        CHECK_FALSE(call.complete);
+        REQUIRE(view.crashes.crashes.size() == 1);
+        CHECK(view.crashes.crashes.front().keys.size() == 3);
+        CHECK(view.crashes.begun.empty());
+    }
+    view.crashes = {};
+    target.answer = stream_head() + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const auto call = ask("/quote/1", 0, "key-1", "q1");
+    CHECK(call.complete);
+    CHECK(view.crashes.crashes.empty());
+    CHECK(view.crashes.begun.size() == 3);
+}
