--- a/src/entry/crash_monitor.cpp
+++ b/src/entry/crash_monitor.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-// the requests that one crash ends are noticed within this time
+// the ends of the connections that one crash closes arrive within this time
 constexpr duration send_delay = std::chrono::milliseconds{50};
 constexpr duration update_period = std::chrono::milliseconds{100};
 constexpr duration share_period = std::chrono::milliseconds{500};
-// 390 instances have all heard of a block after four periods
+// each instance hears from two others in a period on average
 constexpr std::size_t share_fanout = 2;
 
 auto log_blocked(const crash_evidence& evidence, const std::set<std::uint64_t>& before) -> void
@@ -41,7 +41,7 @@
       view_(view),
       metrics_(metrics),
       on_blocked_(std::move(on_blocked)),
-      random_(hash64("crash_monitor", static_cast<std::uint64_t>(wall_clock_ms())))
+      random_(std::random_device{}())
 {}
 
 auto crash_monitor::start() -> void
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -483,7 +483,7 @@
         give_up(bad_gateway, cause);
         return true;
     }
-    // the caller's other requests may be fine; this one is not before most of its time is over
+    // a repeat would be refused as well, so the longest wait is asked for
     send_local_reply(service_unavailable, retry_after_delay(time_left(), 1), cause);
     return true;
 }
--- a/tests/unit-crash_evidence.cpp
+++ b/tests/unit-crash_evidence.cpp
@@ -169,9 +169,10 @@
     evidence.settings.max_begun = 50;
     add_crashes(evidence, {deadly_part}, 3, at(0s));
     REQUIRE(blocked_at(evidence, at(1s)) == id_set{deadly_part});
+    auto next_key = std::uint64_t{10'000};
     for (auto target = 100U; target < 300; ++target) {
-        for (auto key = 0U; key < 20; ++key) {
-            add_crash(evidence, {target, 1, at(2s), keys_of({target * 100 + key}, target * 7)});
+        for (auto key = 0; key < 20; ++key) {
+            add_crash(evidence, {target, 1, at(2s), keys_of({next_key++}, target)});
         }
         add_begun(evidence, {target, at(2s)});
     }
