Bound the bytes of the crash evidence that is sent to a peer

A message was bounded by its crashes only, of which each may have 64 keys: 16 KB four times a second in the worst case, where control may cost an instance 9 KB/s. 128 keys in all make it about 2 KB.

--- a/src/limits/crash_evidence.cpp
+++ b/src/limits/crash_evidence.cpp
@@ -14,8 +14,9 @@
 // a part explains crashes as well as another one from this share of the other's crashes on; the
 // rest may be crashes for other reasons
 constexpr double equal_share = 0.75;
-// limits of one message to a peer
+// limits of one message to a peer; about 2 KB at 10 bytes a key and 17 a crash
 constexpr std::size_t max_shared_crashes = 24;
+constexpr std::size_t max_shared_keys = 128;
 constexpr std::size_t max_shared_begun = 32;
 
 /// Crashes that count against one key.
@@ -114,6 +115,18 @@
     return chosen;
 }
 
+/// Adds a crash to the shared ones if the message has room for it.
+auto add_if_room(shared_evidence& shared, const target_crash& crash) -> void
+{
+    auto keys = crash.keys.size();
+    for (const auto& other : shared.crashes) {
+        keys += other.keys.size();
+    }
+    if (shared.crashes.size() < max_shared_crashes && keys <= max_shared_keys) {
+        shared.crashes.push_back(crash);
+    }
+}
+
 auto drop_outdated(crash_evidence& evidence, time_point now, const survival_test& survived) -> void
 {
     // the record of a block outlasts it, so that one more crash renews it
@@ -224,17 +237,15 @@
                 supports = true;
             }
         }
-        if (supports && shared.crashes.size() < max_shared_crashes) {
-            shared.crashes.push_back(*crash);
+        if (supports) {
+            add_if_room(shared, *crash);
         }
         else if (now - crash->at < sharing_time) {
             recent.push_back(&*crash);
         }
     }
     for (const auto* crash : recent) {
-        if (shared.crashes.size() < max_shared_crashes) {
-            shared.crashes.push_back(*crash);
-        }
+        add_if_room(shared, *crash);
     }
     for (const auto& [key, at] : evidence.begun) {
         const auto matters = std::any_of(
--- a/tests/unit-crash_evidence.cpp
+++ b/tests/unit-crash_evidence.cpp
@@ -182,6 +182,11 @@
     CHECK(blocked_at(evidence, at(4s)).contains(deadly_part));
     const auto shared = evidence_to_share(evidence, at(4s));
     CHECK(shared.crashes.size() <= 24);
+    auto shared_keys = std::size_t{0};
+    for (const auto& crash : shared.crashes) {
+        shared_keys += crash.keys.size();
+    }
+    CHECK(shared_keys <= 128);
     CHECK(shared.begun.size() <= 32);
 }
 
