Withdraw an attempt in one place, and drop a wrapper

stop_if_blocked repeated what abandon does first: cancel the attempt, count it as a run if any of it was sent, and release its target. Both call withdraw_attempt now. In crash_evidence a wrapper around is_blocked goes, and find_key, which finds nothing, is holds_key. Behaviour is unchanged; unit-forwarder, unit-crash_monitor, unit-crash_evidence and unit-entry_instance pass.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -474,10 +474,7 @@
         return false;
     }
     const auto self = shared_from_this();
-    const auto may_have_run = in_flight && attempt.sent();
-    attempt.cancel();
-    runs += may_have_run ? 1 : 0;
-    release_target(target_outcome::cancelled);
+    withdraw_attempt();
     constexpr auto cause = "crashes_targets";
     if (runs > 0 || exchange->answer_started()) {
         give_up(bad_gateway, cause);
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -130,6 +130,8 @@
     /// The connection was not established in time, or the target has not answered in time.
     auto on_attempt_timeout() -> void;
     auto on_deadline() -> void;
+    /// Cancels the attempt in progress, if any; it counts as a run if any of it was sent.
+    auto withdraw_attempt() -> void;
     /// Ends the request without a target's answer: refuses it if it certainly has not run.
     auto abandon(std::string_view cause) -> void;
     /// Looks whether the answer that has begun still makes progress.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -54,15 +54,20 @@
     abandon("time_over");
 }
 
-auto forward_job::abandon(std::string_view cause) -> void
+auto forward_job::withdraw_attempt() -> void
 {
-    const auto self = shared_from_this();
     const auto may_have_run = in_flight && attempt.sent();
     attempt.cancel();
     if (may_have_run) {
         ++runs;
     }
     release_target(target_outcome::cancelled);
+}
+
+auto forward_job::abandon(std::string_view cause) -> void
+{
+    const auto self = shared_from_this();
+    withdraw_attempt();
     if (runs > 0 || exchange->answer_started()) {
         give_up(gateway_timeout, cause);
         return;
--- a/src/limits/crash_evidence.cpp
+++ b/src/limits/crash_evidence.cpp
@@ -34,23 +34,18 @@
     return one.target == other.target && one.incarnation == other.incarnation;
 }
 
-auto find_key(const content_keys& keys, std::uint64_t id) -> bool
+auto holds_key(const content_keys& keys, std::uint64_t id) -> bool
 {
     return std::any_of(keys.begin(), keys.end(),
                        [&](const content_key& key) { return key.id == id; });
 }
 
-auto holds_blocked_key(const crash_evidence& evidence, const target_crash& crash) -> bool
-{
-    return is_blocked(evidence, crash.keys);
-}
-
 /// Makes room for one crash; those behind a block are kept as long as there are others.
 auto evict_crash(crash_evidence& evidence) -> void
 {
-    auto oldest = std::find_if(
-        evidence.crashes.begin(), evidence.crashes.end(),
-        [&](const target_crash& crash) { return !holds_blocked_key(evidence, crash); });
+    auto oldest =
+        std::find_if(evidence.crashes.begin(), evidence.crashes.end(),
+                     [&](const target_crash& crash) { return !is_blocked(evidence, crash.keys); });
     evidence.crashes.erase(oldest == evidence.crashes.end() ? evidence.crashes.begin() : oldest);
 }
 
@@ -166,7 +161,7 @@
         changed = true;
     }
     for (const auto& key : seen.keys) {
-        if (known->keys.size() < evidence.settings.max_keys && !find_key(known->keys, key.id)) {
+        if (known->keys.size() < evidence.settings.max_keys && !holds_key(known->keys, key.id)) {
             known->keys.push_back(key);
             changed = true;
         }
@@ -250,7 +245,7 @@
     for (const auto& [key, at] : evidence.begun) {
         const auto matters = std::any_of(
             shared.crashes.begin(), shared.crashes.end(),
-            [&, id = key](const target_crash& crash) { return find_key(crash.keys, id); });
+            [&, id = key](const target_crash& crash) { return holds_key(crash.keys, id); });
         if (matters && now - at < sharing_time && shared.begun.size() < max_shared_begun) {
             shared.begun.push_back({key, at});
         }
