Report a connection that libwebsockets closes by itself

Cause: poll() may report a hang-up without input, for a moment while a reset is taken in and for as long as reading is paused. libwebsockets then closes the descriptor and calls RAW_CLOSE_FILE alone. on_tcp_event marked the connection as closed and told nobody, so the exchange above went on waiting on a connection that no longer existed, and what had arrived before the close was thrown away.

Change: when the owner has not asked for the close, the bytes that have arrived are delivered and the end is reported like any other. The descriptor is still open in that callback.

Test: "tcp: a reset is reported while reading is paused, after the bytes before it".

Looked at, not concerned: the libwebsockets HTTP server and client of the former interface get CLOSED_HTTP and CLOSED_CLIENT_HTTP in each case and keep a flag of their own for what was sent; the descriptors of ZeroMQ and of signals do not hang up. Concerned by the same and mended with it: a caller that resets while its pipelined requests hold reading back, and a target that resets while a slow caller holds its stream back; both had been noticed only at the deadline.

--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -36,8 +36,12 @@
     auto request_writable() -> void;
     auto close() -> void;
     auto fail(close_reason reason) -> void;
-    auto on_readable() -> void;
+    /// Reads once. Returns whether bytes were received; reports the end of the connection.
+    auto read_some() -> bool;
     auto on_writable() -> void;
+    /// libwebsockets closes the descriptor after this call. If the owner has not asked for it,
+    /// delivers what has arrived and reports the end.
+    auto on_descriptor_closing() -> void;
 };
 
 struct tcp_listener_state : std::enable_shared_from_this<tcp_listener_state> {
@@ -142,14 +146,12 @@
     }
     const auto state = raw->shared_from_this();
     if (reason == LWS_CALLBACK_RAW_CLOSE_FILE) {
-        state->wsi = nullptr;
-        state->closing = true;
-        state->self.reset();
+        state->on_descriptor_closing();
         return 0;
     }
     state->in_event = true;
     if (reason == LWS_CALLBACK_RAW_RX_FILE && !state->closing) {
-        state->on_readable();
+        state->read_some();
     }
     if (reason == LWS_CALLBACK_RAW_WRITEABLE_FILE && !state->closing) {
         state->on_writable();
@@ -240,7 +242,23 @@
     }
 }
 
-auto tcp_state::on_readable() -> void
+auto tcp_state::on_descriptor_closing() -> void
+{
+    wsi = nullptr;
+    self.reset();
+    if (closing) {
+        return;
+    }
+    // libwebsockets closes by itself when poll() reports a hang-up without input; the peer can send
+    // nothing more, so the reads come to an end
+    in_event = true;
+    while (!closing && read_some()) {
+    }
+    fail(close_reason::reset);
+    in_event = false;
+}
+
+auto tcp_state::read_some() -> bool
 {
     static auto buffer = std::array<char, read_buffer_bytes>{};
     const auto count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
@@ -250,15 +268,15 @@
         if (on_bytes) {
             on_bytes({buffer.data(), static_cast<std::size_t>(count)});
         }
-        return;
+        return true;
     }
     if (count == 0) {
         fail(close_reason::finished);
-        return;
     }
-    if (!would_block(errno)) {
+    else if (!would_block(errno)) {
         fail(reason_of(errno));
     }
+    return false;
 }
 
 auto tcp_state::on_writable() -> void
@@ -394,7 +412,7 @@
 
 auto tcp_connection::set_reading(bool enabled) -> void
 {
-    if (*this) {
+    if (*this && state_->wsi != nullptr) {
         lws_rx_flow_control(state_->wsi, enabled ? 1 : 0);
     }
 }
--- a/tests/unit-tcp.cpp
+++ b/tests/unit-tcp.cpp
@@ -98,6 +98,20 @@
     CHECK(ends.at_server == "last words");
 }
 
+// Guards against a close that nobody is told of: while reading is paused, poll() reports a reset as a
+// hang-up without input, and libwebsockets closes the connection by itself.
+TEST_CASE("tcp: a reset is reported while reading is paused, after the bytes before it")
+{
+    auto ends = connection_pair{};
+    ends.server.set_reading(false);
+    ends.client.send("last words");
+    REQUIRE(ends.loop.run_until([&] { return ends.server.has_input(); }, limit));
+    ends.client.reset();
+    CHECK(ends.loop.run_until([&] { return ends.server_closed.has_value(); }, limit));
+    CHECK(ends.server_closed == close_reason::reset);
+    CHECK(ends.at_server == "last words");
+}
+
 TEST_CASE("tcp: a connection closed in its own handler is closed for the peer")
 {
     auto ends = connection_pair{};
