Decide from what was sent whether an attempt may have run

Cause: on_attempt_timeout asked whether the connection is open. One that was closed meanwhile is not open either, so an attempt whose request had left this process ended as not_sent.

Change: decide_silence_step, a pure function, decides from the bytes that have left. A request that was sent and whose connection is gone counts as lost (cause=connection_gone).

--- a/include/cyclamenpost/routing/attempts.hpp
+++ b/include/cyclamenpost/routing/attempts.hpp
@@ -63,6 +63,31 @@
     enum_name<next_step>{next_step::give_up, "give_up"},
 };
 
+/// What is known of an attempt that has had no answer within a time limit.
+struct silent_attempt {
+    /// The connection is established and open.
+    bool connected = false;
+    /// A byte of the request may have left this process.
+    bool sent = false;
+    /// The target has been silent for longer than it may be, and the request can be moved to
+    /// another one.
+    bool movable = false;
+};
+
+/// Action on an attempt without an answer.
+enum class silence_step {
+    /// Wait for the answer.
+    keep_waiting,
+    /// End the attempt as `not_sent`.
+    end_unsent,
+    /// End the attempt as `lost`.
+    end_lost,
+};
+
+/// Decides the action on an attempt without an answer. Only what was sent tells whether the request
+/// may have run: a connection that is not open may have been.
+auto decide_silence_step(const silent_attempt& attempt) -> silence_step;
+
 /// Decides the action after an attempt. A request that is not repeatable is retried only if it
 /// certainly has not run.
 auto decide_next_step(const retry_context& context) -> next_step;
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -228,22 +228,23 @@
 
 auto forward_job::on_attempt_timeout() -> void
 {
-    if (!attempt.connected()) {
-        attempt.cancel();
-        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "connect_timeout");
-        return;
-    }
     const auto silence = silence_timeout();
     const auto waited = monotonic_now() - attempt_begun;
-    if (waited < silence) {
-        attempt_timer = call_later(silence - waited, &forward_job::on_attempt_timeout);
+    auto seen = silent_attempt{attempt.connected(), attempt.sent(), false};
+    seen.movable = seen.connected && waited >= silence && can_move_elsewhere();
+    switch (decide_silence_step(seen)) {
+    case silence_step::keep_waiting:
+        attempt_timer = call_later(waited < silence ? silence - waited : silence,
+                                   &forward_job::on_attempt_timeout);
         return;
-    }
-    if (!can_move_elsewhere()) {
-        attempt_timer = call_later(silence, &forward_job::on_attempt_timeout);
+    case silence_step::end_unsent:
+        attempt.cancel();
+        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "connect_timeout");
+        return;
+    case silence_step::end_lost:
+        break_off(seen.connected ? "silent" : "connection_gone");
         return;
     }
-    break_off("silent");
 }
 
 auto forward_job::can_move_elsewhere() -> bool
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -33,6 +33,14 @@
 
 } // namespace
 
+auto decide_silence_step(const silent_attempt& attempt) -> silence_step
+{
+    if (!attempt.connected) {
+        return attempt.sent ? silence_step::end_lost : silence_step::end_unsent;
+    }
+    return attempt.movable ? silence_step::end_lost : silence_step::keep_waiting;
+}
+
 auto decide_next_step(const retry_context& context) -> next_step
 {
     if (context.end == attempt_end::answered) {
--- a/tests/unit-attempts.cpp
+++ b/tests/unit-attempts.cpp
@@ -102,3 +102,25 @@
     CHECK(retry_after_delay(milliseconds{0}, 1) == milliseconds{50});
     CHECK(retry_after_delay(milliseconds{60'000}, 1) == milliseconds{2000});
 }
+
+// Guards against a booking that is sent twice: its connection was established, took the request and
+// ended, and "not connected" was read as "not sent".
+TEST_CASE("attempts: a request that was sent counts as lost once its connection is gone")
+{
+    auto attempt = silent_attempt{};
+    attempt.sent = true;
+    CHECK(decide_silence_step(attempt) == silence_step::end_lost);
+}
+
+TEST_CASE("attempts: a request that waits for its connection has not been sent")
+{
+    CHECK(decide_silence_step({}) == silence_step::end_unsent);
+}
+
+TEST_CASE("attempts: a silent target keeps a request that cannot be moved")
+{
+    auto attempt = silent_attempt{true, true, false};
+    CHECK(decide_silence_step(attempt) == silence_step::keep_waiting);
+    attempt.movable = true;
+    CHECK(decide_silence_step(attempt) == silence_step::end_lost);
+}
