Ask another instance for changes when one does not answer

Cause: change_source chose by what instances had announced and by whether they count as live, and knew nothing of a request that they had left unanswered. The dark instance was asked again and again until failure detection declared it dead. Notices of the other readers meanwhile kept the followers from reading the store themselves.

Change: an instance from which nothing at all has come for 0.4 s after it was asked, or no changes for 1.5 s, is given up and the next one that has the revision is asked; it comes last for 10 s or until it sends changes. An instance that waits for an announced revision for longer than two missed notices reads the store itself. Ruled out: faster failure detection, which only shortens the window and never ends when an instance can be heard but not reached.

--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -9,6 +9,7 @@
 #include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/membership/cluster_node.hpp"
+#include "cyclamenpost/routing/change_sources.hpp"
 #include "cyclamenpost/routing/directory.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
@@ -98,10 +99,12 @@
         -> void;
     auto add_change(wire::published_part& part, const published_item& item) -> std::size_t;
     auto fetch_source(std::uint64_t revision, const std::string& seen_at) const -> std::string;
-    auto on_published_part(const wire::published_part& part) -> void;
+    auto on_published_part(const std::string& from, const wire::published_part& part) -> void;
     auto on_load_reports(const wire::envelope& message) -> void;
     auto on_crash_report(const wire::envelope& message) -> void;
-    auto fetch(const std::string& from) -> void;
+    auto fetch(const std::string& from, std::uint64_t revision) -> void;
+    /// Asks another instance if the one asked last does not answer.
+    auto check_fetch() -> void;
     /// Sends the zone's followers a notice that this instance reads the store, with its revision.
     auto notify_zone() -> void;
     /// Ids of the live instances that have sent a message, by zone.
@@ -117,14 +120,14 @@
     peer_handlers handlers_;
     cluster_node cluster_;
     timer fetch_timer_;
+    timer fetch_check_;
     timer notice_timer_;
     time_point started_{};
     time_point last_notice_{};
     time_point last_fetch_{};
     /// Version of the seed list; membership ignores a list that is not newer.
     std::uint64_t seeds_version_ = 0;
-    /// Last revision of the store announced by each instance.
-    std::map<std::string, std::uint64_t> revisions_;
+    change_sources sources_;
     /// When the first revision was announced.
     std::optional<time_point> first_announced_;
     /// An instance that reads the store has sent a notice, or all that it knows.
@@ -132,8 +135,6 @@
     /// Highest revision announced until a reader's notice or state came or `announcement_time` was
     /// over.
     std::uint64_t newest_announced_ = 0;
-    /// The last fetch has not been answered completely.
-    bool fetching_ = false;
     /// Compressed large values by key.
     std::map<std::string, compressed_value> compressed_;
 };
--- a/include/cyclamenpost/membership/cluster_node.hpp
+++ b/include/cyclamenpost/membership/cluster_node.hpp
@@ -19,6 +19,8 @@
     std::function<void(const peer_config_version&)> on_peer_config_version;
     /// Receives all messages that are not part of the membership protocol.
     std::function<void(const wire::envelope&)> on_message;
+    /// Called for each message of any kind, before the others. May be empty.
+    std::function<void(const std::string& instance)> on_heard;
 };
 
 /// Owns the bus and the member table of an instance and runs the membership protocol on the loop.
--- a/include/cyclamenpost/routing/store_readers.hpp
+++ b/include/cyclamenpost/routing/store_readers.hpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,9 +50,11 @@
 };
 
 /// Duty of an instance that has run for `since_start` and received the last reader's notice
-/// `since_notice` ago.
+/// `since_notice` ago. A notice tells that a reader has the changes, not that they arrive here: an
+/// instance that has waited too long for a revision reads the store itself. `behind` is the time
+/// for which it has waited.
 auto store_duty_of(const std::vector<std::string>& readers, std::string_view own_id,
-                   duration since_notice, duration since_start) -> store_duty;
+                   duration since_notice, duration since_start, duration behind = {}) -> store_duty;
 
 /// Pause after a watch that returned changes, so that the next call returns several at once.
 auto pause_after_changes(store_duty duty) -> duration;
@@ -62,19 +63,11 @@
 /// of the store yet does not slow down as a backup.
 auto pause_after_failure(store_duty duty, std::uint32_t failures, bool knows_store) -> duration;
 
-/// Reader from which an instance fetches large changes. The instances of a zone are spread over its
-/// readers, so that no single link carries the traffic of all. Empty when the instance is the
-/// zone's only reader.
-auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
-    -> std::string;
-
-/// Instance from which to fetch the changes up to a revision: the preferred reader, else another
-/// reader of the zone, provided that it is known to have that revision; all of a zone's readers may
-/// lose the store at once. Otherwise `seen_in`, the instance that announced the revision.
-/// `revisions` holds the last announced revision of each instance.
-auto change_source(const std::vector<std::string>& readers,
-                   const std::map<std::string, std::uint64_t>& revisions, std::string_view own_id,
-                   std::uint64_t revision, const std::string& seen_in) -> std::string;
+/// The zone's other readers in the order in which an instance asks them for large changes. The
+/// first one is its preferred reader: the instances of a zone are spread over its readers, so that
+/// no single link carries the traffic of all.
+auto readers_from_preferred(const std::vector<std::string>& readers, std::string_view own_id)
+    -> std::vector<std::string>;
 
 /// What an instance has learned since its start.
 struct start_knowledge {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -19,8 +19,7 @@
 // it sooner
 constexpr duration own_watch_delay = std::chrono::milliseconds{400};
 constexpr duration fetch_interval = std::chrono::milliseconds{300};
-// a fetch whose last part has not arrived after this time is repeated; long because of slow links
-constexpr duration fetch_timeout = std::chrono::milliseconds{1500};
+constexpr duration fetch_check_period = std::chrono::milliseconds{100};
 // time from suspicion until an instance that misses probes is declared dead; the directory omits it
 // as soon as it is suspected
 constexpr duration suspicion_timeout = std::chrono::milliseconds{2500};
@@ -101,6 +100,7 @@
         on_revision_seen(seen);
     };
     events.on_message = [this](const wire::envelope& message) { on_message(message); };
+    events.on_heard = [this](const std::string& instance) { note_heard(sources_, instance); };
     BOOST_LEAF_CHECK(cluster_.start(std::move(events)));
     apply_seeds();
     notice_timer_ = loop_.call_every(notice_period, [this] { notify_zone(); });
@@ -125,6 +125,7 @@
 {
     cluster_.stop();
     fetch_timer_.reset();
+    fetch_check_.reset();
     notice_timer_.reset();
 }
 
@@ -190,7 +191,7 @@
 {
     const auto now = monotonic_now();
     return store_duty_of(store_readers(zone_members()), settings_.peer_address, now - last_notice_,
-                         now - started_);
+                         now - started_, time_behind(sources_, state_.revision, now));
 }
 
 auto peers::notify_zone() -> void
@@ -334,22 +335,22 @@
     if (collecting) {
         newest_announced_ = std::max(newest_announced_, seen.version);
     }
-    revisions_[seen.from] = seen.version;
-    const auto pause = fetching_ ? fetch_timeout : fetch_interval;
-    if (seen.version <= state_.revision || monotonic_now() - last_fetch_ < pause) {
+    note_announced(sources_, seen.from, seen.version, state_.revision, now);
+    if (seen.version <= state_.revision || sources_.fetch || now - last_fetch_ < fetch_interval) {
         return;
     }
     const auto readers = store_readers(zone_members());
     const auto source = fetch_source(seen.version, seen.from);
-    const auto expected = source == preferred_reader(readers, settings_.peer_address);
+    const auto expected =
+        source == answering_reader(sources_, readers, settings_.peer_address, now);
     if (!handlers_.store_available() && (duty() != store_duty::none || expected)) {
-        fetch(source);
+        fetch(source, seen.version);
         return;
     }
     if (!fetch_timer_.pending()) {
         fetch_timer_ = loop_.call_after(own_watch_delay, [this, seen] {
-            if (state_.revision < seen.version) {
-                fetch(fetch_source(seen.version, seen.from));
+            if (state_.revision < seen.version && !sources_.fetch) {
+                fetch(fetch_source(seen.version, seen.from), seen.version);
             }
         });
     }
@@ -357,19 +358,43 @@
 
 auto peers::fetch_source(std::uint64_t revision, const std::string& seen_at) const -> std::string
 {
-    return change_source(store_readers(zone_members()), revisions_, settings_.peer_address,
-                         revision, seen_at);
+    return change_source(sources_, store_readers(zone_members()), settings_.peer_address, revision,
+                         seen_at, monotonic_now());
 }
 
-auto peers::fetch(const std::string& from) -> void
+auto peers::fetch(const std::string& from, std::uint64_t revision) -> void
 {
     last_fetch_ = monotonic_now();
-    fetching_ = true;
+    begin_fetch(sources_, from, revision, last_fetch_);
     log_event(log_level::info, "changes_asked",
               {{"peer", from}, {"after", std::to_string(state_.revision)}});
     auto message = wire::envelope{};
     message.mutable_published_fetch()->set_after(state_.revision);
     cluster_.send(from, message);
+    fetch_check_ = loop_.call_every(fetch_check_period, [this] { check_fetch(); });
+}
+
+auto peers::check_fetch() -> void
+{
+    const auto now = monotonic_now();
+    const auto failed = take_failed_fetch(sources_, state_.revision, now);
+    if (failed) {
+        const auto next = fetch_source(failed->revision, failed->source);
+        log_event(log_level::warning, "changes_not_sent",
+                  {{"peer", failed->source},
+                   {"heard", failed->heard ? "1" : "0"},
+                   {"waited_ms", std::to_string(age_in_ms(failed->asked_at, now))},
+                   {"behind_ms", std::to_string(age_in_ms(
+                                     sources_.awaited ? sources_.awaited->since : now, now))},
+                   {"next", next}});
+        if (next != failed->source) {
+            fetch(next, failed->revision);
+            return;
+        }
+    }
+    if (!sources_.fetch) {
+        fetch_check_.reset();
+    }
 }
 
 auto peers::on_message(const wire::envelope& message) -> void
@@ -384,7 +409,7 @@
         heard_reader_ = true;
         return;
     case wire::envelope::kPublishedPart:
-        on_published_part(message.published_part());
+        on_published_part(message.from_instance(), message.published_part());
         return;
     case wire::envelope::kCrashReport:
         on_crash_report(message);
@@ -455,8 +480,9 @@
     flush(complete);
 }
 
-auto peers::on_published_part(const wire::published_part& part) -> void
+auto peers::on_published_part(const std::string& from, const wire::published_part& part) -> void
 {
+    note_changes(sources_, from, part.last());
     auto items = std::vector<published_item>{};
     auto complete = part.last();
     for (const auto& change : part.changes()) {
@@ -475,7 +501,6 @@
         }
         items.push_back({change.key(), std::move(*value), change.revision(), change.removed()});
     }
-    fetching_ = fetching_ && !part.last();
     const auto revision = complete ? part.revision() : 0;
     heard_reader_ = heard_reader_ || (revision > 0 && part.from_reader());
     const auto changed = apply_changes(state_, part.after(), revision, items);
--- a/src/membership/cluster_node.cpp
+++ b/src/membership/cluster_node.cpp
@@ -134,6 +134,9 @@
 auto cluster_node::receive(const wire::envelope& message) -> void
 {
     const auto now = monotonic_now();
+    if (handlers_.on_heard) {
+        handlers_.on_heard(message.from_instance());
+    }
     if (const auto incoming = from_wire(message, now, catalogue_)) {
         perform(on_gossip(state_, *incoming, now, random_));
         return;
--- a/src/routing/store_readers.cpp
+++ b/src/routing/store_readers.cpp
@@ -33,7 +33,7 @@
 }
 
 auto store_duty_of(const std::vector<std::string>& readers, std::string_view own_id,
-                   duration since_notice, duration since_start) -> store_duty
+                   duration since_notice, duration since_start, duration behind) -> store_duty
 {
     const auto position = std::find(readers.begin(), readers.end(), own_id);
     if (position != readers.end()) {
@@ -42,7 +42,7 @@
         }
         return position == readers.begin() ? store_duty::first_reader : store_duty::standby;
     }
-    return since_notice > notice_timeout ? store_duty::backup : store_duty::none;
+    return std::max(since_notice, behind) > notice_timeout ? store_duty::backup : store_duty::none;
 }
 
 auto pause_after_changes(store_duty duty) -> duration
@@ -61,28 +61,16 @@
                                                                    : max_backup_failure_pause);
 }
 
-auto preferred_reader(const std::vector<std::string>& readers, std::string_view own_id)
-    -> std::string
+auto readers_from_preferred(const std::vector<std::string>& readers, std::string_view own_id)
+    -> std::vector<std::string>
 {
     auto others = readers;
     std::erase(others, own_id);
-    return others.empty() ? std::string{} : others[hash64(own_id) % others.size()];
-}
-
-auto change_source(const std::vector<std::string>& readers,
-                   const std::map<std::string, std::uint64_t>& revisions, std::string_view own_id,
-                   std::uint64_t revision, const std::string& seen_in) -> std::string
-{
-    const auto has_revision = [&](const std::string& id) {
-        const auto known = revisions.find(id);
-        return id != own_id && known != revisions.end() && known->second >= revision;
-    };
-    auto preferred = preferred_reader(readers, own_id);
-    if (has_revision(preferred)) {
-        return preferred;
+    if (!others.empty()) {
+        const auto first = static_cast<std::ptrdiff_t>(hash64(own_id) % others.size());
+        std::rotate(others.begin(), others.begin() + first, others.end());
     }
-    const auto other = std::find_if(readers.begin(), readers.end(), has_revision);
-    return other == readers.end() ? seen_in : *other;
+    return others;
 }
 
 auto knows_enough(const start_knowledge& known) -> bool
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -103,9 +103,9 @@
     }
 
     /// Starts an instance that joins through the first one and reads the default store or the one
-    /// given.
-    auto add_instance(const std::string& zone = "a", const std::string& store_address = {})
-        -> entry_instance&
+    /// given. Its address for peers is a free one by default.
+    auto add_instance(const std::string& zone = "a", const std::string& store_address = {},
+                      const std::string& peer_address = {}) -> entry_instance&
     {
         auto& own = settings.emplace_back();
         own.name = "entry-" + std::to_string(settings.size());
@@ -113,7 +113,7 @@
         own.front_address = free_address(loop);
         own.readiness_address = free_address(loop);
         own.directory_address = free_address(loop);
-        own.peer_address = free_address(loop);
+        own.peer_address = peer_address.empty() ? free_address(loop) : peer_address;
         own.store_address = store_address.empty() ? store.address() : store_address;
         own.seeds = {settings.front().peer_address};
         own.membership_settle_time = std::chrono::milliseconds{1};
--- a/tests/unit-store_readers.cpp
+++ b/tests/unit-store_readers.cpp
@@ -32,30 +32,14 @@
 {
     auto asked = std::set<std::string>{};
     for (const auto* id : {"f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"}) {
-        asked.insert(preferred_reader(readers, id));
+        const auto order = readers_from_preferred(readers, id);
+        CHECK(std::set(order.begin(), order.end()) == std::set(readers.begin(), readers.end()));
+        asked.insert(order.front());
     }
     CHECK(asked.size() == readers.size());
-    CHECK(preferred_reader(readers, "r1") != "r1");
-    CHECK(preferred_reader({"r1"}, "r1").empty());
-}
-
-TEST_CASE("store_readers: changes are fetched from an instance that is known to have them")
-{
-    const auto preferred = preferred_reader(readers, "f1");
-    auto revisions = std::map<std::string, std::uint64_t>{{"r1", 7}, {"r2", 7}, {"r3", 7}};
-    CHECK(change_source(readers, revisions, "f1", 7, "other-zone") == preferred);
-
-    revisions[preferred] = 6;
-    const auto next = change_source(readers, revisions, "f1", 7, "other-zone");
-    CHECK(next != preferred);
-    CHECK(next != "other-zone");
-
-    // all readers of the zone lost the store at the same time
-    CHECK(change_source(readers, revisions, "f1", 8, "other-zone") == "other-zone");
-    CHECK(change_source(readers, {}, "f1", 8, "other-zone") == "other-zone");
-
-    // a reader is never its own source
-    CHECK(change_source({"r1"}, {{"r1", 9}}, "r1", 9, "other-zone") == "other-zone");
+    CHECK(readers_from_preferred(readers, "r1").size() == 2);
+    CHECK(readers_from_preferred(readers, "r1").front() != "r1");
+    CHECK(readers_from_preferred({"r1"}, "r1").empty());
 }
 
 TEST_CASE(
@@ -73,6 +57,15 @@
     CHECK(store_duty_of({"f1"}, "f1", 0ms, running) == store_duty::first_reader);
 }
 
+TEST_CASE(
+    "store_readers: an instance that waits too long for an announced revision reads the store "
+    "although notices arrive")
+{
+    constexpr auto running = reader_settle_time;
+    CHECK(store_duty_of(readers, "f1", 0ms, running, notice_timeout) == store_duty::none);
+    CHECK(store_duty_of(readers, "f1", 0ms, running, notice_timeout + 1ms) == store_duty::backup);
+}
+
 TEST_CASE("store_readers: an instance that has just started reads as a backup, since it does not "
           "know yet that there are others")
 {
--- a/tests/unit-tcp.cpp
+++ b/tests/unit-tcp.cpp
@@ -98,8 +98,8 @@
     CHECK(ends.at_server == "last words");
 }
 
-// Guards against a close that nobody is told of: while reading is paused, poll() reports a reset as a
-// hang-up without input, and libwebsockets closes the connection by itself.
+// Guards against a close that nobody is told of: while reading is paused, poll() reports a reset as
+// a hang-up without input, and libwebsockets closes the connection by itself.
 TEST_CASE("tcp: a reset is reported while reading is paused, after the bytes before it")
 {
     auto ends = connection_pair{};
