Judge by its length whether entries lapsed in an outage of the store

Cause: a call that ends without an answer counted as an outage of the store, and each entry that vanishes within two seconds of an outage as lapsed, which keeps the target in use for two seconds.

Change: store_outage, pure, bounds an outage by the answers before and after it, and by notices of those that read the store. An entry lapses after three intervals without a write (heartbeat_ms of the settings, now read), so only an outage that may have lasted for 1.75 of them can have made it vanish. A cut watch lies in 1.6 s at most.

Evidence: "entry_instance: a target that vanishes as a watch is cut gets no more requests" failed before (lapsed, and the booking got 200 instead of 503) and passes now. "a target that vanishes when the store returns may have lapsed" now names a heartbeat of 100 ms: its outage takes about a second, in which no entry lapses at 1.2 s; it checks the same as before.

--- a/fakes/lib/fake_store.cpp
+++ b/fakes/lib/fake_store.cpp
@@ -92,6 +92,15 @@
     answer_due_watches();
 }
 
+auto fake_store::cut_watches() -> std::size_t
+{
+    const auto cut = std::exchange(watches_, {});
+    for (const auto& pending : cut) {
+        pending.exchange->abort();
+    }
+    return cut.size();
+}
+
 auto fake_store::drop_history() -> void
 {
     history_.clear();
--- a/fakes/lib/fake_store.hpp
+++ b/fakes/lib/fake_store.hpp
@@ -49,6 +49,9 @@
     /// Answers the requests that were accepted in mode `silent`; the mode becomes `normal`.
     auto answer_late() -> void;
 
+    /// Closes the connections of all watches that are waiting. Returns their number.
+    auto cut_watches() -> std::size_t;
+
     /// Drops the history of changes; a watch from before the present revision is answered 410.
     auto drop_history() -> void;
 
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -66,6 +66,8 @@
     auto refresh_members() -> void;
     auto maintain() -> void;
     auto finish_shutdown() -> void;
+    /// Whether entries that vanish now may have lapsed while the store was unavailable.
+    auto may_have_lapsed() const -> bool;
     auto longest_cold_time() const -> duration;
 
     event_loop& loop_;
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -23,6 +23,8 @@
     /// Peer addresses of instances through which this one joins the fleet.
     std::vector<std::string> seeds;
     std::string store_address;
+    /// Interval at which targets renew their entries in the store.
+    duration target_heartbeat = std::chrono::milliseconds{1200};
     /// Listen address of the metrics endpoint; empty for none.
     std::string metrics_address;
     unsigned max_connections = 1024;
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -70,6 +70,9 @@
     /// Whether and how this instance has to read the store itself.
     auto duty() const -> store_duty;
 
+    /// When a reader of the zone last said that it reads the store.
+    auto last_notice() const -> time_point;
+
     /// Sends what is known of crashed targets to each of the given instances.
     auto send_evidence(const std::vector<std::string>& to, const shared_evidence& known) -> void;
 
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -5,6 +5,7 @@
 
 #include "cyclamenpost/entry/platform_codec.hpp"
 #include "cyclamenpost/routing/published_state.hpp"
+#include "cyclamenpost/routing/store_outage.hpp"
 #include "cyclamenpost/routing/store_readers.hpp"
 #include "cyclamenpost/transport/http1_client.hpp"
 
@@ -43,8 +44,8 @@
     auto stop() -> void;
 
     /// Resumes reading, or leaves it to other instances of the zone. The first listing always
-    /// completes.
-    auto set_duty(store_duty duty) -> void;
+    /// completes. `last_notice` is the time at which an instance that reads the store last said so.
+    auto set_duty(store_duty duty, time_point last_notice) -> void;
 
     /// Whether the store's whole listing has been read since the start.
     auto has_listed() const -> bool;
@@ -55,10 +56,11 @@
     /// Whether this instance reads the store and its last call was answered.
     auto available() const -> bool;
 
-    /// Whether entries that vanish now may have lapsed because the store was unavailable: it is
-    /// unavailable, or became available less than `window` ago. An outage that affects only this
-    /// instance does not count, since the entries are renewed meanwhile.
-    auto may_have_lapsed(duration window, time_point now) const -> bool;
+    /// Whether entries that vanish now may have lapsed because the store was unavailable for longer
+    /// than targets may be silent: it still is, or became available less than `window` ago. An
+    /// outage that affects only this instance does not count, since the entries are renewed
+    /// meanwhile.
+    auto may_have_lapsed(duration heartbeat, duration window, time_point now) const -> bool;
 
     /// Records that a peer has newer changes, so the store is available to other instances.
     auto note_store_serves_others() -> void;
@@ -104,7 +106,10 @@
     bool available_ = false;
     bool stopped_ = true;
     store_duty duty_ = store_duty::backup;
-    std::optional<time_point> last_unavailable_;
+    /// A call has failed since the start.
+    bool has_failed_ = false;
+    store_outage outage_;
+    /// The outage that goes on, or was the last one, affects only this instance.
     bool others_served_ = false;
     duration extra_timeout_{};
 };
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -67,13 +67,11 @@
               [this](const std::vector<shared_load>& loads, report_origin origin) {
                   merge_shared_loads(view_.targets, loads, origin, monotonic_now());
               },
-              [this] { return store_.available(); },
-              [this] { return store_.may_have_lapsed(store_return_window, monotonic_now()); }}),
+              [this] { return store_.available(); }, [this] { return may_have_lapsed(); }}),
       loads_(loop, peers_, view_.targets),
       crashes_(loop, peers_, view_, metrics_, [this] { forwarder_.stop_blocked(); }),
-      store_(loop, codec_, {settings_.store_address}, state_, {[this](const changed_keys& keys) {
-                 on_changed(keys, store_.may_have_lapsed(store_return_window, monotonic_now()));
-             }}),
+      store_(loop, codec_, {settings_.store_address}, state_,
+             {[this](const changed_keys& keys) { on_changed(keys, may_have_lapsed()); }}),
       forwarder_(loop, codec_, view_, forwarder_settings_for(settings_.memory_bytes), metrics_),
       front_(loop, {},
              [this](std::shared_ptr<server_exchange> exchange) {
@@ -199,6 +197,11 @@
     return view_;
 }
 
+auto entry_instance::may_have_lapsed() const -> bool
+{
+    return store_.may_have_lapsed(settings_.target_heartbeat, store_return_window, monotonic_now());
+}
+
 auto entry_instance::longest_cold_time() const -> duration
 {
     auto longest = duration::zero();
@@ -340,7 +343,7 @@
     const auto now = monotonic_now();
     refresh_members();
     check_knowledge();
-    store_.set_duty(peers_.duty());
+    store_.set_duty(peers_.duty(), peers_.last_notice());
     purge_removed_targets(view_.targets, now);
 }
 
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -194,6 +194,11 @@
                          now - started_, time_behind(sources_, state_.revision, now));
 }
 
+auto peers::last_notice() const -> time_point
+{
+    return last_notice_;
+}
+
 auto peers::notify_zone() -> void
 {
     const auto readers = store_readers(zone_members());
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -44,8 +44,9 @@
     next_call_timer_.reset();
 }
 
-auto store_reader::set_duty(store_duty duty) -> void
+auto store_reader::set_duty(store_duty duty, time_point last_notice) -> void
 {
+    outage_.last_served = std::max(outage_.last_served, last_notice);
     const auto before = std::exchange(duty_, duty);
     const auto starts_or_ends = (before == store_duty::none) != (duty == store_duty::none);
     if (before == duty || stopped_ || !listed_) {
@@ -70,7 +71,7 @@
 
 auto store_reader::first_listing_in_progress() const -> bool
 {
-    return !has_listed_ && !stopped_ && !last_unavailable_;
+    return !has_listed_ && !stopped_ && !has_failed_;
 }
 
 auto store_reader::available() const -> bool
@@ -78,12 +79,10 @@
     return available_ && duty_ != store_duty::none;
 }
 
-auto store_reader::may_have_lapsed(duration window, time_point now) const -> bool
+auto store_reader::may_have_lapsed(duration heartbeat, duration window, time_point now) const
+    -> bool
 {
-    if (others_served_ || !last_unavailable_) {
-        return false;
-    }
-    return !available_ || now - *last_unavailable_ < window;
+    return !others_served_ && cyclamenpost::may_have_lapsed(outage_, heartbeat, window, now);
 }
 
 auto store_reader::note_store_serves_others() -> void
@@ -255,7 +254,8 @@
         return;
     }
     set_available(false, cause);
-    last_unavailable_ = monotonic_now();
+    has_failed_ = true;
+    note_failed(outage_);
     ++failures_;
     const auto pause = pause_after_failure(duty_, failures_, state_.revision > 0);
     next_call_timer_ = loop_.call_after(pause, [this] {
@@ -273,6 +273,7 @@
     if (now_available) {
         failures_ = 0;
         extra_timeout_ = {};
+        note_served(outage_, monotonic_now());
     }
     if (std::exchange(available_, now_available) == now_available) {
         return;
@@ -280,9 +281,6 @@
     if (!now_available) {
         others_served_ = false;
     }
-    if (now_available && last_unavailable_) {
-        last_unavailable_ = monotonic_now();
-    }
     log_event(now_available ? log_level::info : log_level::warning,
               now_available ? "store_reached" : "store_lost",
               {{"peer", settings_.address},
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -62,6 +62,8 @@
     http1_client client{loop, std::chrono::seconds{5}};
     int stopped_instances = 0;
     int next_id = 0;
+    /// Setting of the instances that are added from now on.
+    duration target_heartbeat = std::chrono::milliseconds{1200};
     /// Prompt of the requests for quotes.
     std::string prompt = "a1:500,b2:4000,c3:100";
 
@@ -117,6 +119,7 @@
         own.store_address = store_address.empty() ? store.address() : store_address;
         own.seeds = {settings.front().peer_address};
         own.membership_settle_time = std::chrono::milliseconds{1};
+        own.target_heartbeat = target_heartbeat;
         own.retry_budget_ratio = 0.2;
         own.retry_slack = 50;
         instances.push_back(std::make_unique<entry_instance>(loop, platform::make_codec(), own,
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -123,8 +123,10 @@
 TEST_CASE_FIXTURE(small_fleet,
                   "entry_instance: a target that vanishes when the store returns may have lapsed")
 {
+    target_heartbeat = std::chrono::milliseconds{100};
     start(1);
     store.set_mode(store_mode::busy);
+    // the pauses between the calls add up to several heartbeats
     wait([&] { return store.request_count() > 4; });
     store.remove("servers/app-1");
     store.set_mode(store_mode::normal);
@@ -143,6 +145,23 @@
     CHECK(ask("/book/1").head.status == 503);
 }
 
+// Guards against work for a target that has left: one cut watch counted as an outage of the store,
+// in which the entry might have lapsed.
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: a target that vanishes as a watch is cut gets no more requests")
+{
+    start(1);
+    auto cut = std::size_t{0};
+    wait([&] {
+        cut += store.cut_watches();
+        return cut > 0;
+    });
+    store.remove("servers/app-1");
+    wait([&] { return listing_of("app-1") != listing_state::listed; });
+    CHECK(listing_of("app-1") == listing_state::removed);
+    CHECK(ask("/book/1").head.status == 503);
+}
+
 TEST_CASE_FIXTURE(small_fleet,
                   "entry_instance: older configurations and unreadable entries are ignored")
 {
