Require keys if the configuration lists organisations, even none

Cause: whether callers need a key was concluded from the number of organisations; the adapter did not keep whether the configuration has the list.

Change: route_table::requires_keys is set if the list is there. With an empty one no key is valid.

--- a/fakes/lib/sample_configuration.cpp
+++ b/fakes/lib/sample_configuration.cpp
@@ -51,7 +51,10 @@
           route_entry(sample, {"read", "idempotent", "app", 2, false}),
           route_entry(sample, {"quote", "streaming", "engine", 2, true})}},
         {"services", {service_entry(sample, "app"), service_entry(sample, "engine")}},
-        {"tenants", {{{"name", "buyer"}, {"api_keys", sample.api_keys}}}}};
+        {"tenants", nlohmann::json::array()}};
+    if (sample.with_organisation) {
+        text["tenants"].push_back({{"name", "buyer"}, {"api_keys", sample.api_keys}});
+    }
     if (sample.with_limits) {
         text["limits"] = {{"max_header_bytes", 8192},
                           {"max_body_bytes", 65536},
--- a/fakes/lib/sample_configuration.hpp
+++ b/fakes/lib/sample_configuration.hpp
@@ -13,6 +13,8 @@
     std::string host = "shop.example";
     /// API keys of the organisation.
     std::vector<std::string> api_keys;
+    /// Whether the list of organisations has an entry; it is there in any case.
+    bool with_organisation = true;
     int timeout_ms = 4000;
     int max_connections = 9;
     double cold_start_seconds = 1.0;
--- a/include/cyclamenpost/routing/route_table.hpp
+++ b/include/cyclamenpost/routing/route_table.hpp
@@ -85,6 +85,9 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service_settings> services;
+    /// Callers need the key of an organisation, except on routes that allow anonymous ones. It does
+    /// not follow from `organisations`: with an empty list no key is valid.
+    bool requires_keys = false;
     std::vector<organisation> organisations;
     request_limits limits;
     /// Positions in `routes` by host, longest prefix first.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -278,6 +278,7 @@
               {{"version", std::to_string(table->version)},
                {"revision", std::to_string(item.revision)},
                {"routes", std::to_string(table->routes.size())},
+               {"keys_required", table->requires_keys ? "1" : "0"},
                {"organisations", std::to_string(table->organisations.size())}});
     front_.set_limits(limits_of(table->limits));
     view_.routes = std::make_shared<const route_table>(std::move(*table));
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -173,8 +173,7 @@
         reject_request(codec, *exchange, bad_request, {}, request, "no_request_id");
         return;
     }
-    const auto requires_key =
-        !view.routes->organisations.empty() && !matched_route->allow_anonymous;
+    const auto requires_key = view.routes->requires_keys && !matched_route->allow_anonymous;
     const auto* caller = requires_key ? find_organisation(*view.routes, request.api_key) : nullptr;
     if (requires_key && caller == nullptr) {
         reject_request(codec, *exchange, unauthorized, {}, request, "unknown_key");
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -145,6 +145,25 @@
     CHECK(ask("/book/1").head.status == 503);
 }
 
+// Guards against an open fleet: a list of organisations without an entry read as "no keys needed".
+TEST_CASE_FIXTURE(small_fleet,
+                  "entry_instance: no key is accepted after the last organisation was removed")
+{
+    start(1);
+    CHECK(ask("/book/1").head.status == 200);
+    auto sample = fakes::sample_configuration{};
+    sample.version = 2;
+    sample.with_organisation = false;
+    store.put("op/config", fakes::to_text(sample));
+    wait([&] { return version(0) == 2; });
+    CHECK(ask("/book/1", 0, "key-1", "dropped").head.status == 401);
+    CHECK(ask("/book/1", 0, "never-held", "forged").head.status == 401);
+    CHECK(runs_of("dropped") + runs_of("forged") == 0);
+    publish(3);
+    wait([&] { return version(0) == 3; });
+    CHECK(ask("/book/1").head.status == 200);
+}
+
 // Guards against work for a target that has left: one cut watch counted as an outage of the store,
 // in which the entry might have lapsed.
 TEST_CASE_FIXTURE(small_fleet,
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -173,3 +173,16 @@
     CHECK(find_service(*table, "a")->capacity == 128);
     CHECK(find_organisation(*table, "k")->priority == 1);
 }
+
+TEST_CASE("platform_adapter: keys are required if the configuration lists organisations, also none")
+{
+    const auto with = [](std::string_view organisations) {
+        return R"({"version":3,"routes":[],"services":[])" + std::string{organisations} + "}";
+    };
+    CHECK_FALSE(platform::decode_configuration(with(""))->requires_keys);
+    CHECK(platform::decode_configuration(with(R"(,"tenants":[])"))->requires_keys);
+    CHECK(platform::decode_configuration(with(R"(,"tenants":null)"))->requires_keys);
+    CHECK(platform::decode_configuration(with(R"(,"tenants":[{"name":"a"}])"))->requires_keys);
+    // a list that cannot be read leaves the configuration before in force
+    CHECK_FALSE(platform::decode_configuration(with(R"(,"tenants":"all")")));
+}
