--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -190,10 +190,17 @@
     publish(6);
     store.put("op/config", "not a configuration");
     store.put("servers/odd", R"({"backend":7})");
+    store.put("servers/nested", std::string(400'000, '['));
+    store.put(
+        "servers/port",
+        R"({"backend":"app","address":"127.0.0.1:70000","zone":"a","capacity":8,"state":"ready","cold_remaining_ms":0})");
     add_target("app-2", "app");
     wait([&] { return instances[0]->view().targets.targets.contains("app-2"); });
     CHECK(version(0) == 7);
-    CHECK_FALSE(instances[0]->view().targets.targets.contains("odd"));
+    for (const auto* odd : {"odd", "nested", "port"}) {
+        CHECK_FALSE(instances[0]->view().targets.targets.contains(odd));
+    }
+    CHECK(ask("/book/1").head.status == 200);
 }
 
 TEST_CASE_FIXTURE(small_fleet,
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -140,6 +140,70 @@
     }
 }
 
+// Guards against an odd entry of another writer that is used as a target, or that ends the process.
+TEST_CASE("platform_adapter: target entries with absurd values name no target")
+{
+    const auto good = std::string{
+        R"({"backend":"s","address":"1.2.3.4:5","zone":"z","capacity":8,"state":"ready","cold_remaining_ms":0,"born":7})"};
+    REQUIRE(decode_target("i-1", good).has_value());
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"1.2.3.4:5", "1.2.3.4:65536"},
+             {"1.2.3.4:5", "1.2.3.4:0"},
+             {"1.2.3.4:5", "1.2.3.4:-1"},
+             {"1.2.3.4:5", "1.2.3.4"},
+             {"1.2.3.4:5", "host.example:80"},
+             {"1.2.3.4:5", "1.2.3.4:5\\r\\nX: y"},
+             {"\"capacity\":8", "\"capacity\":4294967304"},
+             {"\"capacity\":8", "\"capacity\":-8"},
+             {"\"capacity\":8", "\"capacity\":8.5"},
+             {"\"capacity\":8", "\"capacity\":1e400"},
+             {"_ms\":0", "_ms\":1e300"},
+             {"_ms\":0", "_ms\":9223372036854775807"},
+             {"\"born\":7", "\"born\":18446744073709551615"},
+             {"\"born\":7", "\"born\":1e30"},
+             {"\"born\":7", "\"born\":\"7\""}}) {
+        auto odd = good;
+        odd.replace(odd.find(from), from.size(), to);
+        CAPTURE(odd);
+        CHECK_FALSE(decode_target("i-1", odd).has_value());
+    }
+    for (const auto* id : {"", "two words", "line\r\nX-Tenant: other", "\x7f"}) {
+        CHECK_FALSE(decode_target(id, good).has_value());
+    }
+}
+
+TEST_CASE("platform_adapter: a large or deeply nested entry is rejected unread")
+{
+    const auto depth = std::size_t{400'000};
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto entry =
+        R"({"backend":"s","address":"1.2.3.4:5","zone":"z","capacity":8,"state":"ready","cold_remaining_ms":0,"odd":)";
+    CHECK_FALSE(decode_target("i-1", entry + nested + "}").has_value());
+    CHECK_FALSE(decode_target("i-1", std::string(depth, '[')).has_value());
+    CHECK_FALSE(decode_target("i-1", entry + ("\"" + std::string(depth, 'x') + "\"}")).has_value());
+}
+
+TEST_CASE("platform_adapter: an item that cannot be read does not hide the others of its page")
+{
+    const auto page = decode_listing(
+        R"({"items":[{"key":"a","value":"a","rev":3},{"key":"b","value":7,"rev":3},{"rev":3},{"key":"d","rev":4},
+                     {"key":"c","value":"aGk=","rev":3}],"current_rev":9})");
+    REQUIRE(page.has_value());
+    REQUIRE(page->items.size() == 4);
+    // the entry is there, so what was known under its key holds no more
+    CHECK(page->items[0].value.empty());
+    CHECK(page->items[1].value.empty());
+    CHECK(page->items[2].value.empty());
+    CHECK(page->items[3].value == "hi");
+}
+
+TEST_CASE("platform_adapter: the page behind any key can be requested")
+{
+    CHECK(list_request("", "servers/i-1").target.ends_with("after=servers/i-1"));
+    CHECK(list_request("", "servers/a b&c=d#%\n")
+              .target.ends_with("after=servers/a%20b%26c%3Dd%23%25%0A"));
+}
+
 TEST_CASE("platform_adapter: malformed listings, changes and configurations are rejected")
 {
     const auto page = decode_listing(
