Ask a continued stream for an event that shows where it ends

Report of another operator: a stream had begun and broke off; clients found an error's text in the middle of it, or it ended as if it were complete.

Here: error texts never reach the stream (12 kinds of answers tried, all cut). But a target that was to continue it and answered with a well-formed event stream without events, with comments, or with events that the caller had already, ended it as complete behind its third event.

Cause: the end was judged by the framing alone; no event was read as "nothing more".

Change: judge_stream_end, pure, asks for a new event, or for a repetition up to the caller's last one unless a further one had begun. Otherwise the attempt is lost and the next target is asked, or the stream is cut. It takes the place of the check for empty answers that end with their connection.

In the same file, for the report on refusals that a target writes once more on a kept connection: "an earlier refusal that comes again is not taken for the next request's", four ways.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -174,9 +174,8 @@
     ++attempts;
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
-    passed_before = events.passed;
     answer_underway = false;
-    begin_resumed_stream(events);
+    begin_attempt(events);
 
     auto handlers = exchange_handlers{};
     handlers.identify = [this](const response_head& head) {
@@ -344,7 +343,7 @@
     const auto whole = filter_events(events, bytes);
     exchange->write(whole);
     note_progress();
-    if (events.passed >= passed_before + events_underway) {
+    if (events.passed >= events.passed_before + events_underway) {
         note_answer_underway();
     }
     if (events.gap || events.oversized) {
@@ -368,13 +367,12 @@
     if (streaming_events) {
         ++runs;
         const auto closed = ends_with_connection(answer_head);
-        const auto empty = closed && events.passed == passed_before;
-        if (empty || !at_event_boundary(events)) {
+        const auto end = judge_stream_end(events, closed);
+        if (end != stream_end::whole) {
             if (closed && !answer_underway) {
                 note_crash();
             }
-            end_attempt(attempt_end::lost, target_outcome::failed,
-                        empty ? "stream_empty" : "event_cut");
+            end_attempt(attempt_end::lost, target_outcome::failed, name_in(stream_end_names, end));
             return;
         }
         if (!closed) {
@@ -382,7 +380,7 @@
         }
         release_target(target_outcome::succeeded);
         exchange->finish();
-        finish(answer_head.status, "answered", "stream_complete");
+        finish(answer_head.status, "answered", name_in(stream_end_names, end));
         return;
     }
     if (answer_head.status == misdirected) {
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -83,8 +83,6 @@
     time_point last_progress{};
     /// Length of the answer's body, or number of its events, at that time.
     std::uint64_t progress = 0;
-    /// Events that had been passed on when the attempt began.
-    std::uint64_t passed_before = 0;
     /// The target has begun the answer and gone on with it, so the request does not crash it.
     bool answer_underway = false;
     /// The answer was found stalled once; it counts as stalled if the next look finds no progress.
--- a/src/routing/event_filter.cpp
+++ b/src/routing/event_filter.cpp
@@ -68,6 +68,9 @@
         rest.remove_prefix(size);
         searched = 0;
         const auto id = event_id(event);
+        if (id) {
+            filter.attempt_last = std::max(filter.attempt_last.value_or(0), *id);
+        }
         if (id && filter.last_event && *id <= *filter.last_event) {
             continue;
         }
@@ -91,9 +94,32 @@
     return filter.partial.find_first_not_of("\r\n") == std::string::npos;
 }
 
-auto begin_resumed_stream(event_filter& filter) -> void
+auto judge_stream_end(const event_filter& filter, bool ends_with_connection) -> stream_end
+{
+    if (!at_event_boundary(filter)) {
+        return stream_end::within_event;
+    }
+    if (filter.passed > filter.passed_before) {
+        return stream_end::whole;
+    }
+    if (filter.attempt_last) {
+        const auto reached_caller =
+            !filter.last_event || *filter.attempt_last >= *filter.last_event;
+        return reached_caller && !filter.next_begun ? stream_end::whole : stream_end::too_early;
+    }
+    const auto continues = filter.passed > 0 || filter.next_begun;
+    return continues || ends_with_connection ? stream_end::empty : stream_end::whole;
+}
+
+auto begin_attempt(event_filter& filter) -> void
 {
+    // an event that is repeated from the start may be cut before the caller's last one is reached
+    const auto cut_at_next = !at_event_boundary(filter) && filter.attempt_last == filter.last_event;
+    const auto known_before = filter.next_begun && filter.passed == filter.passed_before;
+    filter.next_begun = cut_at_next || known_before;
     filter.partial.clear();
+    filter.passed_before = filter.passed;
+    filter.attempt_last.reset();
 }
 
 } // namespace cyclamenpost
--- a/tests/unit-event_filter.cpp
+++ b/tests/unit-event_filter.cpp
@@ -44,7 +44,7 @@
         auto filter = event_filter{};
         const auto cut = *rc::gen::inRange<std::size_t>(0, whole.size() + 1);
         auto forwarded = filter_events(filter, whole.substr(0, cut));
-        begin_resumed_stream(filter);
+        begin_attempt(filter);
         const auto next = filter.last_event.value_or(0) + 1;
         // the next target may repeat events that were forwarded already
         const auto from = *rc::gen::inRange<std::uint64_t>(1, next + 1);
@@ -111,3 +111,42 @@
     filter_events(filter, event(1));
     CHECK(filter.passed == 1);
 }
+
+TEST_CASE("event_filter: a stream that repeats events is judged by those that the caller has")
+{
+    auto filter = event_filter{};
+    filter_events(filter, events(1, 4) + event(5).substr(0, 8));
+    CHECK(judge_stream_end(filter, false) == stream_end::within_event);
+    begin_attempt(filter);
+    CHECK(filter.next_begun);
+    filter_events(filter, events(1, 2) + event(3).substr(0, 8));
+    CHECK(judge_stream_end(filter, false) == stream_end::within_event);
+    // the third attempt still has to show the event that the first one had begun
+    begin_attempt(filter);
+    CHECK(filter.next_begun);
+    filter_events(filter, events(1, 4));
+    CHECK(judge_stream_end(filter, false) == stream_end::too_early);
+    filter_events(filter, event(5));
+    CHECK(judge_stream_end(filter, false) == stream_end::whole);
+}
+
+TEST_CASE("event_filter: a repeated event that is cut tells nothing of a further one")
+{
+    auto filter = event_filter{};
+    filter_events(filter, events(1, 4));
+    begin_attempt(filter);
+    filter_events(filter, events(1, 2) + event(3).substr(0, 8));
+    begin_attempt(filter);
+    CHECK_FALSE(filter.next_begun);
+    filter_events(filter, events(1, 4));
+    CHECK(judge_stream_end(filter, false) == stream_end::whole);
+}
+
+TEST_CASE("event_filter: an answer to a caller that has all events may be empty")
+{
+    auto filter = event_filter{};
+    filter.last_event = 6;
+    begin_attempt(filter);
+    CHECK(judge_stream_end(filter, false) == stream_end::whole);
+    CHECK(judge_stream_end(filter, true) == stream_end::empty);
+}
--- /dev/null
+++ b/tests/unit-faulty_targets.cpp
@@ -0,0 +1,301 @@
+#include "entry_fixture.hpp"
+
+using namespace cyclamenpost;
+using namespace cyclamenpost::test;
+
+namespace {
+
+/// One request as it reached a scripted target.
+struct received_request {
+    std::string id;
+    /// Requests that the connection carried before.
+    std::size_t earlier = 0;
+    tcp_connection* connection = nullptr;
+};
+
+/// A target that sends just the bytes that a test tells it to send.
+struct scripted_target {
+    std::string id;
+    tcp_listener listener;
+    std::list<tcp_connection> connections;
+
+    scripted_target(fleet_fixture& fleet, std::string name, const std::string& service,
+                    std::function<void(const received_request&)> serve)
+        : id(std::move(name))
+    {
+        fleet.check([&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(
+                listener, tcp_listener::open(fleet.loop, "127.0.0.1:0",
+                                             [this, serve](tcp_connection accepted, const auto&) {
+                                                 accept(std::move(accepted), serve);
+                                             }));
+            return {};
+        });
+        fleet.store.put("servers/" + id,
+                        nlohmann::json{{"backend", service},
+                                       {"address", "127.0.0.1:" + std::to_string(listener.port())},
+                                       {"zone", "a"},
+                                       {"capacity", 8},
+                                       {"state", "ready"},
+                                       {"cold_remaining_ms", 0}}
+                            .dump());
+    }
+
+    auto accept(tcp_connection accepted, std::function<void(const received_request&)> serve) -> void
+    {
+        auto* connection = &connections.emplace_back(std::move(accepted));
+        auto text = std::make_shared<std::string>();
+        auto served = std::make_shared<std::size_t>(0);
+        auto handlers = tcp_handlers{};
+        handlers.on_bytes = [connection, text, served, serve](std::string_view bytes) {
+            *text += bytes;
+            // the requests of these tests have a short body that comes with their head
+            if (!text->ends_with("\r\n\r\norder") && !text->ends_with("\r\n\r\n")) {
+                return;
+            }
+            const auto at = text->find("X-Attempt-Id: ") + 14;
+            serve({text->substr(at, text->find('\r', at) - at), (*served)++, connection});
+            text->clear();
+        };
+        connection->set_handlers(std::move(handlers));
+    }
+};
+
+auto response(const std::string& status, const std::string& id, const std::string& fields,
+              const std::string& body = {}) -> std::string
+{
+    const auto id_field = id.empty() ? std::string{} : "X-Attempt-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + status + "\r\n" + id_field + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto refusal(const std::string& id) -> std::string
+{
+    return response("503 Busy", id, "X-Not-Executed: 1\r\n");
+}
+
+constexpr auto stream_fields = "X-Server-Seal: s\r\nContent-Type: text/event-stream\r\n";
+
+auto stream_head(const std::string& id) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n" + stream_fields +
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+auto events(int first, int last) -> std::string
+{
+    auto text = std::string{};
+    for (auto event = first; event <= last; ++event) {
+        text += "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+    }
+    return text;
+}
+
+} // namespace
+
+// Guards against a promise that is taken for another request's: a target sends an earlier refusal
+// once more on a kept connection, while it runs the next request.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: an earlier refusal that comes again is not taken "
+                                 "for the next request's")
+{
+    auto with_id = true;
+    auto answers = true;
+    SUBCASE("with its id, before the answer") {}
+    SUBCASE("without an id, before the answer")
+    {
+        with_id = false;
+    }
+    SUBCASE("with its id, and the answer is lost")
+    {
+        answers = false;
+    }
+    SUBCASE("without an id, and the answer is lost")
+    {
+        with_id = false;
+        answers = false;
+    }
+    auto kept = std::size_t{0};
+    auto elsewhere = 0;
+    auto target =
+        scripted_target{*this, "app-1", "app", [&](const received_request& request) {
+                            if (request.id == "first") {
+                                request.connection->send(refusal("first"));
+                                return;
+                            }
+                            kept = request.earlier;
+                            request.connection->send(refusal(with_id ? "first" : ""));
+                            if (answers) {
+                                request.connection->send(
+                                    response("200 OK", request.id, "X-Server-Seal: s\r\n", "done"));
+                                return;
+                            }
+                            request.connection->reset();
+                        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    wait([&] { return instances[0]->view().targets.targets.size() == 1; });
+    CHECK(ask("/book/1", 0, "key-1", "first").head.status == 503);
+    auto other =
+        scripted_target{*this, "app-2", "app", [&](const received_request&) { ++elsewhere; }};
+    wait([&] { return instances[0]->view().targets.targets.size() == 2; });
+    const auto call = ask("/book/2", 0, "key-1", "second");
+    CHECK(kept == 1);
+    CHECK(elsewhere == 0);
+    CHECK(call.head.status == (answers ? 200 : 502));
+}
+
+namespace {
+
+/// Two targets, of which the one that gets the stream first breaks it off behind three events.
+struct broken_stream : fleet_fixture {
+    /// Bytes of the fourth event that the first target sends.
+    std::string begun = "id: 4\n";
+    /// Answer of the second target.
+    std::function<std::string(const std::string& id)> second;
+    int attempts = 0;
+    std::list<scripted_target> engines;
+
+    auto serve(const received_request& request) -> void
+    {
+        auto& connection = *request.connection;
+        if (++attempts == 1) {
+            connection.send(stream_head(request.id) + write_chunk(events(1, 3) + begun));
+            connection.close();
+            return;
+        }
+        connection.send(second(request.id));
+    }
+
+    auto play() -> caller_call
+    {
+        for (const auto* id : {"engine-1", "engine-2"}) {
+            engines.emplace_back(*this, id, "engine",
+                                 [this](const received_request& request) { serve(request); });
+        }
+        publish(1);
+        add_instance();
+        wait_ready();
+        wait([&] { return instances[0]->view().targets.targets.size() == 2; });
+        wait([&] { return instances[0]->view().retries.min_per_second > 0; });
+        auto call = ask("/quote/1");
+        CHECK(attempts == 2);
+        return call;
+    }
+
+    static auto stream(const std::string& body) -> std::function<std::string(const std::string&)>
+    {
+        return [body](const std::string& id) {
+            return stream_head(id) + (body.empty() ? "" : write_chunk(body)) + "0\r\n\r\n";
+        };
+    }
+};
+
+} // namespace
+
+// Guards against a stream that ends as complete before its last event: the target that is to go on
+// with it sends a well-formed stream that does not.
+TEST_CASE_FIXTURE(broken_stream,
+                  "faulty_targets: a stream that is not continued does not end as complete")
+{
+    SUBCASE("a stream without events")
+    {
+        second = stream("");
+    }
+    SUBCASE("a stream without events, after a break between two events")
+    {
+        begun.clear();
+        second = stream("");
+    }
+    SUBCASE("comments alone")
+    {
+        second = stream(":\n\n");
+    }
+    SUBCASE("a stream that ends before the events that the caller has")
+    {
+        second = stream(events(1, 1));
+    }
+    SUBCASE("a stream that ends with the events that the caller has, while one more had begun")
+    {
+        second = stream(events(1, 3));
+    }
+    SUBCASE("a stream with a length, without events")
+    {
+        second = [](const std::string& id) { return response("200 OK", id, stream_fields); };
+    }
+    const auto call = play();
+    CHECK_FALSE(call.complete);
+    CHECK(call.failed);
+    CHECK(call.body.starts_with(events(1, 3)));
+    CHECK(call.body.find("id: 4") == std::string::npos);
+}
+
+// Guards against bytes of an error in the middle of a stream, and against an error that ends it as
+// complete.
+TEST_CASE_FIXTURE(broken_stream, "faulty_targets: nothing of an error reaches a stream that has "
+                                 "begun")
+{
+    for (const auto* status : {"400 Bad Request", "404 Not Found", "409 Conflict", "429 Busy",
+                               "500 Failed", "503 Busy", "301 Moved"}) {
+        SUBCASE(status)
+        {
+            second = [status](const std::string& id) {
+                return response(status, id, "X-Server-Seal: s\r\n", "error text\n\n");
+            };
+        }
+    }
+    SUBCASE("an error that is an event stream")
+    {
+        second = [](const std::string& id) {
+            return response("500 Failed", id, stream_fields, events(4, 5));
+        };
+    }
+    SUBCASE("no content")
+    {
+        second = [](const std::string& id) {
+            return "HTTP/1.1 204 No Content\r\nX-Attempt-Id: " + id +
+                   "\r\nX-Server-Seal: s\r\n\r\n";
+        };
+    }
+    SUBCASE("a success that is no stream")
+    {
+        second = [](const std::string& id) {
+            return response("200 OK", id, "X-Server-Seal: s\r\nContent-Type: text/plain\r\n",
+                            events(4, 6));
+        };
+    }
+    SUBCASE("a stream without a receipt")
+    {
+        second = [](const std::string& id) {
+            return response("200 OK", id, "Content-Type: text/event-stream\r\n", events(4, 6));
+        };
+    }
+    SUBCASE("a refusal")
+    {
+        second = [](const std::string& id) { return refusal(id); };
+    }
+    const auto call = play();
+    CHECK_FALSE(call.complete);
+    CHECK(call.failed);
+    CHECK(call.body == events(1, 3));
+}
+
+TEST_CASE_FIXTURE(broken_stream, "faulty_targets: a stream is complete if its continuation is")
+{
+    SUBCASE("from the next event on")
+    {
+        second = stream(events(4, 6));
+    }
+    SUBCASE("from the first event on")
+    {
+        second = stream(events(1, 6));
+    }
+    SUBCASE("after a break between two events")
+    {
+        begun.clear();
+        second = stream(events(4, 6));
+    }
+    const auto call = play();
+    CHECK(call.complete);
+    CHECK(call.body == events(1, 6));
+}
