Send nothing new to a target that says in an answer that it is leaving

Change: any answer on the target's connection counts, of whatever status, and late ones to another request as well; a 421 or an answer with another target's id does not. It holds for the incarnation: an entry that is listed again, a zone taken back or a lapsed entry do not lift it, a new start does, and two minutes, after which a target that stays is used again and its next answer tells. While all targets of a service leave, they get requests for half of drain_ms, since they still serve and a refusal would send callers away for nothing; then requests are refused.

Not done: peers are not told.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -114,6 +114,18 @@
     deadly_text_ = std::move(text);
 }
 
+auto fake_target::set_leaving(bool leaving) -> void
+{
+    leaving_ = leaving;
+}
+
+auto fake_target::add_notices(response_head& head) const -> void
+{
+    if (leaving_) {
+        head.fields.push_back({"Server-Leaving", "1"});
+    }
+}
+
 auto fake_target::crashed() const -> bool
 {
     return server_ == nullptr;
@@ -141,6 +153,7 @@
     if (mode_ != target_mode::no_receipt) {
         head.fields.push_back({"X-Server-Seal", "seal-" + id_});
     }
+    add_notices(head);
     return head;
 }
 
@@ -156,6 +169,7 @@
     if (mode_ == target_mode::full) {
         auto head = answer_head(exchange->head, status_unavailable);
         head.fields.push_back({"X-Not-Executed", "1"});
+        add_notices(head);
         exchange->respond(std::move(head), {});
         return;
     }
--- a/fakes/lib/fake_target.hpp
+++ b/fakes/lib/fake_target.hpp
@@ -86,6 +86,9 @@
     /// Requests whose path or prompt holds this text crash the target when it begins the answer.
     auto set_deadly_text(std::string text) -> void;
 
+    /// The target says in its answers that it is leaving.
+    auto set_leaving(bool leaving) -> void;
+
     /// Whether the target has crashed.
     auto crashed() const -> bool;
 
@@ -110,6 +113,8 @@
     auto send_without_end(run& current, const std::string& bytes) -> void;
     auto end_run(const run& current) -> void;
     auto head_for(const run& current, int status) const -> response_head;
+    /// Adds what the target says of itself in all its answers.
+    auto add_notices(response_head& head) const -> void;
 
     event_loop& loop_;
     std::string id_;
@@ -120,6 +125,7 @@
     target_mode mode_ = target_mode::normal;
     duration delay_{};
     std::string deadly_text_;
+    bool leaving_ = false;
     timer crash_timer_;
     std::map<std::string, int> run_counts_;
     std::list<run> running_;
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -25,6 +25,8 @@
     std::string store_address;
     /// Interval at which targets renew their entries in the store.
     duration target_heartbeat = std::chrono::milliseconds{1200};
+    /// Time for which a target that leaves still serves.
+    duration target_drain_time = std::chrono::seconds{2};
     /// Listen address of the metrics endpoint; empty for none.
     std::string metrics_address;
     unsigned max_connections = 1024;
--- a/include/cyclamenpost/entry/platform_codec.hpp
+++ b/include/cyclamenpost/entry/platform_codec.hpp
@@ -62,6 +62,8 @@
     bool has_receipt = false;
     /// The target states that it did not execute the request.
     bool not_executed = false;
+    /// The target is leaving and serves only for a while.
+    bool leaving = false;
     bool event_stream = false;
     /// The body has a content encoding, which callers do not ask for; it is not the target's own.
     bool encoded = false;
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -81,6 +81,8 @@
     time_point backoff_until{};
     /// The last connection attempt failed; the target may have restarted and be cold.
     bool unreachable = false;
+    /// When this incarnation first said in an answer that it is leaving.
+    std::optional<time_point> leaving_since;
 };
 
 /// Settings of the target table.
@@ -89,6 +91,8 @@
     /// Time for which a lapsed target still receives requests: an entry that is missing after an
     /// outage of the store may reappear this long after the store's return.
     duration lapse_grace = std::chrono::seconds{2};
+    /// Time for which a target that leaves still serves.
+    duration drain_time = std::chrono::seconds{2};
     /// Backoff after a target's first failure; doubled with each further failure.
     duration initial_backoff = std::chrono::milliseconds{500};
     duration max_backoff = std::chrono::seconds{4};
@@ -121,6 +125,14 @@
 /// the requests in flight.
 auto upsert_target(target_table& table, const published_target& entry, time_point now) -> void;
 
+/// Time after which a target that said that it is leaving, and did not leave, is used again. Its
+/// next answer tells whether it still says so.
+inline constexpr duration leaving_retention = std::chrono::minutes{2};
+
+/// Records that a target said in an answer that it is leaving. It holds for the incarnation, until
+/// `leaving_retention` is over.
+auto record_leaving(target& leaving, time_point now) -> void;
+
 /// Marks a target as no longer listed, with the given `removed` or `lapsed` state.
 auto remove_target(target_table& table, const std::string& id, listing_state state, time_point now)
     -> void;
@@ -141,6 +153,11 @@
 /// Whether the target may receive new requests. Backoff, load and the cold quota are not checked.
 auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool;
 
+/// Whether a target that is leaving, and else eligible, may still get requests that no other target
+/// of its service can take: in the first half of its drain time, so that they arrive before its
+/// end.
+auto is_last_resort(const target_table& table, const target& candidate, time_point now) -> bool;
+
 /// Whether the target may still be warming up.
 auto is_cold(const target_table& table, const target& candidate, time_point now) -> bool;
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -180,6 +180,7 @@
     auto handlers = exchange_handlers{};
     handlers.identify = [this](const response_head& head) {
         const auto seen = state.codec.decode_answer(head);
+        note_target_news(head.status, seen);
         if (seen.request_id.empty()) {
             return response_owner::unidentified;
         }
@@ -288,6 +289,30 @@
     break_off("stalled");
 }
 
+auto forward_job::note_target_news(int status, const answer_metadata& seen) -> void
+{
+    const auto found = state.view.targets.targets.find(target_id);
+    const auto is_other_target =
+        status == misdirected || (!seen.target_id.empty() && seen.target_id != target_id);
+    if (found == state.view.targets.targets.end() || is_other_target || !seen.leaving) {
+        return;
+    }
+    const auto known_since = found->second.leaving_since;
+    record_leaving(found->second, monotonic_now());
+    if (found->second.leaving_since != known_since) {
+        log_event(log_level::info, "target_says_leaving",
+                  {{"request", request.id},
+                   {"target", target_id},
+                   {"started", std::to_string(found->second.published.started_ms)},
+                   {"status", std::to_string(status)},
+                   {"in_flight", std::to_string(found->second.in_flight)}});
+        state.metrics
+            .counter_of("cyclamenpost_target_notices_total",
+                        "What targets said of themselves in answers.", {{"notice", "leaving"}})
+            .add();
+    }
+}
+
 auto forward_job::on_answer_head(response_head& head) -> void
 {
     head_seen = true;
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -115,6 +115,9 @@
     auto send_to(const target_choice& choice) -> void;
     /// Chooses again after a short time, or refuses the request.
     auto wait_for_target(no_target_reason reason) -> void;
+    /// Records what the target says of itself in any answer on its connection, also in a late one
+    /// to another request.
+    auto note_target_news(int status, const answer_metadata& seen) -> void;
     auto on_answer_head(response_head& head) -> void;
     auto on_answer_body(std::string_view bytes) -> void;
     auto on_answer_complete() -> void;
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -127,16 +127,17 @@
     return cost;
 }
 
-/// Lists the eligible targets of the service and sets the reason why one of them is unavailable.
+/// Lists the targets of the service that pass the check and sets the reason why one of them is
+/// unavailable.
 auto list_candidates(target_table& table, const choice_query& query,
-                     const std::vector<std::string>& ids, target_choice& choice, time_point now)
-    -> std::vector<candidate>
+                     const std::vector<std::string>& ids, target_choice& choice, time_point now,
+                     decltype(is_eligible)& may_be_used) -> std::vector<candidate>
 {
     auto candidates = std::vector<candidate>{};
     choice.reason = no_target_reason::service_empty;
     for (const auto& id : ids) {
         auto& known = table.targets.at(id);
-        if (!is_eligible(table, known, now)) {
+        if (!may_be_used(table, known, now)) {
             continue;
         }
         auto& entry = candidates.emplace_back();
@@ -178,7 +179,10 @@
         choice.reason = no_target_reason::service_empty;
         return choice;
     }
-    const auto candidates = list_candidates(table, query, ids->second, choice, now);
+    auto candidates = list_candidates(table, query, ids->second, choice, now, is_eligible);
+    if (candidates.empty()) {
+        candidates = list_candidates(table, query, ids->second, choice, now, is_last_resort);
+    }
     choice.candidate_count = candidates.size();
     choice.mean_load = mean_load(table, ids->second, now);
     const auto* holder = find_holder(candidates, query, weights, choice.mean_load, now);
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -44,6 +44,28 @@
     return std::exp(-std::chrono::duration<double>(silent).count() / mean->second);
 }
 
+auto says_leaving(const target& candidate, time_point now) -> bool
+{
+    return candidate.leaving_since && now - *candidate.leaving_since < leaving_retention;
+}
+
+/// Whether the store's entries let the target be used.
+auto is_listed_for_use(const target_table& table, const target& candidate, time_point now) -> bool
+{
+    if (candidate.published.draining || table.evacuated_zones.contains(candidate.published.zone)) {
+        return false;
+    }
+    switch (candidate.listing) {
+    case listing_state::listed:
+        return true;
+    case listing_state::removed:
+        return false;
+    case listing_state::lapsed:
+        return now - candidate.unlisted_at < table.settings.lapse_grace;
+    }
+    return false;
+}
+
 auto unindex_target(target_table& table, const published_target& entry) -> void
 {
     std::erase(table.by_service[entry.service], entry.id);
@@ -100,8 +122,9 @@
 {
     for (auto next = table.targets.begin(); next != table.targets.end();) {
         const auto& candidate = next->second;
+        // a target that said that it is leaving is remembered, since its entry may come back
         const auto expired = candidate.listing != listing_state::listed &&
-                             candidate.in_flight == 0 &&
+                             candidate.in_flight == 0 && !says_leaving(candidate, now) &&
                              now - candidate.unlisted_at > unlisted_retention;
         if (expired) {
             unindex_target(table, candidate.published);
@@ -120,20 +143,23 @@
            found->second.answered_at > reported + answer_transit_time;
 }
 
-auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool
+auto record_leaving(target& leaving, time_point now) -> void
 {
-    if (candidate.published.draining || table.evacuated_zones.contains(candidate.published.zone)) {
-        return false;
-    }
-    switch (candidate.listing) {
-    case listing_state::listed:
-        return true;
-    case listing_state::removed:
-        return false;
-    case listing_state::lapsed:
-        return now - candidate.unlisted_at < table.settings.lapse_grace;
+    if (!says_leaving(leaving, now)) {
+        leaving.leaving_since = now;
     }
-    return false;
+}
+
+auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool
+{
+    return !says_leaving(candidate, now) && is_listed_for_use(table, candidate, now);
+}
+
+auto is_last_resort(const target_table& table, const target& candidate, time_point now) -> bool
+{
+    return candidate.leaving_since &&
+           now - *candidate.leaving_since < table.settings.drain_time / 2 &&
+           is_listed_for_use(table, candidate, now);
 }
 
 auto is_cold(const target_table& table, const target& candidate, time_point now) -> bool
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -120,6 +120,16 @@
     CHECK_FALSE(decode_answer(head).load.has_value());
 }
 
+TEST_CASE("platform_adapter: a target says in its answers that it is leaving")
+{
+    auto head = response_head{};
+    CHECK_FALSE(decode_answer(head).leaving);
+    head.fields = {{"Server-Leaving", "0"}};
+    CHECK_FALSE(decode_answer(head).leaving);
+    head.fields = {{"Server-Leaving", "1"}};
+    CHECK(decode_answer(head).leaving);
+}
+
 TEST_CASE("platform_adapter: target entries with missing fields or wrong types are rejected")
 {
     const auto good = std::string{
