Leave a target alone that turns requests away and asks for time

Change: the target gets nothing from this instance until the time is over, counted from the arrival of the answer; of several times the latest end holds, at most ten minutes, and a new start ends it. Fractions are read; 0, negative, infinite and unreadable times are no wish. Requests go to other targets. If all targets of the service rest for longer than a request may wait, it is refused at once, with a Retry-After of the first end, spread by up to half as much again, and never longer than callers honour. Such a target is not counted as failed. Whether the request has run follows from X-Not-Executed alone, as before.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -119,8 +119,17 @@
     leaving_ = leaving;
 }
 
+auto fake_target::set_rest(duration rest) -> void
+{
+    rest_ = rest;
+}
+
 auto fake_target::add_notices(response_head& head) const -> void
 {
+    if (head.status == status_unavailable && rest_ > duration::zero()) {
+        const auto seconds = std::chrono::duration<double>{rest_}.count();
+        head.fields.push_back({"Retry-After", std::to_string(seconds)});
+    }
     if (leaving_) {
         head.fields.push_back({"Server-Leaving", "1"});
     }
--- a/fakes/lib/fake_target.hpp
+++ b/fakes/lib/fake_target.hpp
@@ -89,6 +89,9 @@
     /// The target says in its answers that it is leaving.
     auto set_leaving(bool leaving) -> void;
 
+    /// Time that the target asks for in refusals; 0 for none.
+    auto set_rest(duration rest) -> void;
+
     /// Whether the target has crashed.
     auto crashed() const -> bool;
 
@@ -126,6 +129,7 @@
     duration delay_{};
     std::string deadly_text_;
     bool leaving_ = false;
+    duration rest_{};
     timer crash_timer_;
     std::map<std::string, int> run_counts_;
     std::list<run> running_;
--- a/include/cyclamenpost/entry/platform_codec.hpp
+++ b/include/cyclamenpost/entry/platform_codec.hpp
@@ -64,6 +64,8 @@
     bool not_executed = false;
     /// The target is leaving and serves only for a while.
     bool leaving = false;
+    /// Time for which the target wants no further request, if it turned this one away.
+    duration rest{};
     bool event_stream = false;
     /// The body has a content encoding, which callers do not ask for; it is not the target's own.
     bool encoded = false;
--- a/include/cyclamenpost/routing/attempts.hpp
+++ b/include/cyclamenpost/routing/attempts.hpp
@@ -99,4 +99,8 @@
 /// that callers refused together do not return together. `random` is in [0, 1).
 auto retry_after_delay(duration time_left, double random) -> duration;
 
+/// Delay for a caller who is refused because all targets rest for `until_free`: as long, and up to
+/// half as long again, so that callers do not return together; never longer than callers honour.
+auto retry_after_rest(duration until_free, duration time_left, double random) -> duration;
+
 } // namespace cyclamenpost
--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -49,12 +50,13 @@
 };
 
 /// Why no target was chosen; a later reason takes precedence over an earlier one.
-enum class no_target_reason { none, service_empty, all_cold, all_tried };
+enum class no_target_reason { none, service_empty, all_cold, all_resting, all_tried };
 
 inline constexpr std::array no_target_reason_names{
     enum_name<no_target_reason>{no_target_reason::none, "none"},
     enum_name<no_target_reason>{no_target_reason::service_empty, "service_empty"},
     enum_name<no_target_reason>{no_target_reason::all_cold, "all_cold"},
+    enum_name<no_target_reason>{no_target_reason::all_resting, "all_resting"},
     enum_name<no_target_reason>{no_target_reason::all_tried, "all_tried"},
 };
 
@@ -78,6 +80,9 @@
     std::size_t candidate_count = 0;
     /// Eligible targets that are warming up and whose quota is used up.
     std::size_t cold_without_quota = 0;
+    /// When the first of the eligible targets that want to rest, and were not tried, may be used
+    /// again.
+    std::optional<time_point> first_rest_end;
 };
 
 /// Whether other targets may fetch cached prompt prefixes from the target: it is healthy, even if
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -83,6 +83,8 @@
     bool unreachable = false;
     /// When this incarnation first said in an answer that it is leaving.
     std::optional<time_point> leaving_since;
+    /// The target has asked this instance to send it nothing until then.
+    time_point rests_until{};
 };
 
 /// Settings of the target table.
@@ -133,6 +135,13 @@
 /// `leaving_retention` is over.
 auto record_leaving(target& leaving, time_point now) -> void;
 
+/// Longest time for which a target's wish for rest is honoured.
+inline constexpr duration max_rest = std::chrono::minutes{10};
+
+/// Records that a target has turned a request away and wants nothing from this instance for a time.
+/// Of several wishes the one that ends last holds. A time of 0 or less is no wish.
+auto record_rest(target& resting, duration rest, time_point now) -> void;
+
 /// Marks a target as no longer listed, with the given `removed` or `lapsed` state.
 auto remove_target(target_table& table, const std::string& id, listing_state state, time_point now)
     -> void;
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -109,18 +109,23 @@
     query.prefix_tokens = shared_tokens;
     const auto choice = choose_target(state.view.targets, query, state.weights, monotonic_now());
     if (choice.chosen == nullptr) {
-        wait_for_target(choice.reason);
+        wait_for_target(choice);
         return;
     }
     send_to(choice);
 }
 
-auto forward_job::wait_for_target(no_target_reason reason) -> void
+auto forward_job::wait_for_target(const target_choice& choice) -> void
 {
-    const auto waited = monotonic_now() - arrived;
-    if (waited > matched_route->latency_objective / wait_divisor ||
-        reason == no_target_reason::all_tried) {
-        refuse(name_in(no_target_reason_names, reason));
+    const auto now = monotonic_now();
+    const auto wait_end = arrived + matched_route->latency_objective / wait_divisor;
+    // a cold target has quota again within a second
+    const auto rests_longer = choice.reason == no_target_reason::all_resting &&
+                              choice.cold_without_quota == 0 &&
+                              choice.first_rest_end.value_or(now) > wait_end;
+    if (now > wait_end || rests_longer || choice.reason == no_target_reason::all_tried) {
+        const auto rest = choice.first_rest_end ? *choice.first_rest_end - now : duration::zero();
+        refuse(name_in(no_target_reason_names, choice.reason), rest);
         return;
     }
     wait_timer = call_later(target_poll_period, &forward_job::try_next);
@@ -294,7 +299,19 @@
     const auto found = state.view.targets.targets.find(target_id);
     const auto is_other_target =
         status == misdirected || (!seen.target_id.empty() && seen.target_id != target_id);
-    if (found == state.view.targets.targets.end() || is_other_target || !seen.leaving) {
+    if (found == state.view.targets.targets.end() || is_other_target) {
+        return;
+    }
+    if (seen.rest > duration::zero()) {
+        record_rest(found->second, seen.rest, monotonic_now());
+        log_event(log_level::info, "target_wants_rest",
+                  {{"request", request.id},
+                   {"target", target_id},
+                   {"rest_ms", milliseconds_text(seen.rest)},
+                   {"executed", seen.not_executed ? "0" : "unknown"}});
+        count_notice("rest");
+    }
+    if (!seen.leaving) {
         return;
     }
     const auto known_since = found->second.leaving_since;
@@ -306,13 +323,19 @@
                    {"started", std::to_string(found->second.published.started_ms)},
                    {"status", std::to_string(status)},
                    {"in_flight", std::to_string(found->second.in_flight)}});
-        state.metrics
-            .counter_of("cyclamenpost_target_notices_total",
-                        "What targets said of themselves in answers.", {{"notice", "leaving"}})
-            .add();
+        count_notice("leaving");
     }
 }
 
+auto forward_job::count_notice(std::string_view notice) -> void
+{
+    state.metrics
+        .counter_of("cyclamenpost_target_notices_total",
+                    "What targets said of themselves in answers.",
+                    {{"notice", std::string{notice}}})
+        .add();
+}
+
 auto forward_job::on_answer_head(response_head& head) -> void
 {
     head_seen = true;
@@ -427,8 +450,12 @@
         return;
     }
     if (promises_not_run(answer_head.status)) {
-        // the target does not say that it has not run the request, but callers would read it so
-        end_attempt(attempt_end::lost, target_outcome::failed, "unproven_refusal");
+        // the target does not say that it has not run the request, but callers would read it so;
+        // one that wants to rest is not ill
+        end_attempt(attempt_end::lost,
+                    answer.rest > duration::zero() ? target_outcome::rejected
+                                                   : target_outcome::failed,
+                    "unproven_refusal");
         return;
     }
     if (success && exchange->answer_started()) {
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -114,10 +114,11 @@
     auto try_next() -> void;
     auto send_to(const target_choice& choice) -> void;
     /// Chooses again after a short time, or refuses the request.
-    auto wait_for_target(no_target_reason reason) -> void;
+    auto wait_for_target(const target_choice& choice) -> void;
     /// Records what the target says of itself in any answer on its connection, also in a late one
     /// to another request.
     auto note_target_news(int status, const answer_metadata& seen) -> void;
+    auto count_notice(std::string_view notice) -> void;
     auto on_answer_head(response_head& head) -> void;
     auto on_answer_body(std::string_view bytes) -> void;
     auto on_answer_complete() -> void;
@@ -147,8 +148,10 @@
     auto pass_answer() -> void;
     /// Sends the complete events of a stream to the caller.
     auto pass_events(std::string_view bytes) -> void;
-    /// Answers that the request did not run. Calls `give_up` instead if it may have run.
-    auto refuse(std::string_view cause) -> void;
+    /// Answers that the request did not run, and asks the caller to come back after `rest` or, if
+    /// that is 0, after a time that follows from its deadline. Calls `give_up` instead if it may
+    /// have run.
+    auto refuse(std::string_view cause, duration rest = {}) -> void;
     /// Answers that the outcome is unknown, or aborts an answer that has begun.
     auto give_up(int status, std::string_view cause) -> void;
     /// Sends an answer of the instance's own; finishes the job.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -22,7 +22,7 @@
     finish(answer_head.status, answer.not_executed ? "not_run" : "answered", "target_answer");
 }
 
-auto forward_job::refuse(std::string_view cause) -> void
+auto forward_job::refuse(std::string_view cause, duration rest) -> void
 {
     // a 503 states that the request did not run, so it must not be sent when it may have run
     if (runs > 0 || exchange->answer_started()) {
@@ -30,7 +30,9 @@
         return;
     }
     const auto random = static_cast<double>(state.random() % 1000) / 1000;
-    send_local_reply(service_unavailable, retry_after_delay(time_left(), random), cause);
+    const auto wait = rest > duration::zero() ? retry_after_rest(rest, time_left(), random)
+                                              : retry_after_delay(time_left(), random);
+    send_local_reply(service_unavailable, wait, cause);
 }
 
 auto forward_job::give_up(int status, std::string_view cause) -> void
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -72,4 +72,11 @@
     return std::chrono::duration_cast<duration>(delay * (0.5 + random / 2));
 }
 
+auto retry_after_rest(duration until_free, duration time_left, double random) -> duration
+{
+    const auto honoured = std::chrono::duration_cast<duration>(time_left * honoured_share);
+    const auto spread = std::chrono::duration_cast<duration>(until_free * (1 + random / 2));
+    return std::min(std::max(spread, min_delay), std::max(honoured, min_delay));
+}
+
 } // namespace cyclamenpost
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -147,6 +147,12 @@
             choice.reason = std::max(choice.reason, no_target_reason::all_tried);
             continue;
         }
+        if (now < known.rests_until) {
+            choice.reason = std::max(choice.reason, no_target_reason::all_resting);
+            choice.first_rest_end =
+                std::min(choice.first_rest_end.value_or(known.rests_until), known.rests_until);
+            continue;
+        }
         const auto warming = query.cold_per_second > 0 && is_cold(table, known, now);
         const auto share = warming && query.members != nullptr
                                ? cold_quota_of(table.settings, query.cold_per_second, id,
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -150,6 +150,13 @@
     }
 }
 
+auto record_rest(target& resting, duration rest, time_point now) -> void
+{
+    if (rest > duration::zero()) {
+        resting.rests_until = std::max(resting.rests_until, now + std::min(rest, max_rest));
+    }
+}
+
 auto is_eligible(const target_table& table, const target& candidate, time_point now) -> bool
 {
     return !says_leaving(candidate, now) && is_listed_for_use(table, candidate, now);
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -130,6 +130,25 @@
     CHECK(decode_answer(head).leaving);
 }
 
+TEST_CASE("platform_adapter: the time that a target asks for is a number of seconds")
+{
+    const auto rest = [](int status, const std::string& text) {
+        auto head = response_head{};
+        head.status = status;
+        head.fields = {{"Retry-After", text}};
+        return decode_answer(head).rest;
+    };
+    CHECK(rest(503, "2") == std::chrono::seconds{2});
+    CHECK(rest(503, "0.25") == std::chrono::milliseconds{250});
+    CHECK(rest(503, "1000000000000000000") == std::chrono::hours{24});
+    for (const auto* odd :
+         {"0", "-1", "", "soon", "2 s", "nan", "inf", "1e999", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CHECK(rest(503, odd) == duration::zero());
+    }
+    CHECK(rest(200, "2") == duration::zero());
+    CHECK(rest(429, "2") == duration::zero());
+}
+
 TEST_CASE("platform_adapter: target entries with missing fields or wrong types are rejected")
 {
     const auto good = std::string{
--- a/tests/unit-target_notices.cpp
+++ b/tests/unit-target_notices.cpp
@@ -1,3 +1,4 @@
+#include "cyclamenpost/routing/attempts.hpp"
 #include "cyclamenpost/routing/target_choice.hpp"
 #include "entry_fixture.hpp"
 
@@ -153,3 +154,88 @@
     CHECK(leaving.run_counts().size() == runs);
     CHECK(staying.run_counts().size() == before + 10);
 }
+
+// Load pattern: a service at its limit turns requests away and asks for time to recover.
+TEST_CASE_FIXTURE(two_targets,
+                  "target_notices: a target that wants to rest gets nothing until then")
+{
+    auto& resting = table.targets.at("t1");
+    record_rest(resting, 3s, start);
+    // a shorter wish, and none, do not end the longer one
+    record_rest(resting, 500ms, start + 100ms);
+    record_rest(resting, 0s, start + 200ms);
+    record_rest(resting, -1s, start + 200ms);
+    CHECK(chosen(table, start + 3s - 1ms) == "t2");
+    CHECK(chosen(table, start + 3s) == "t1");
+
+    SUBCASE("a new start ends it")
+    {
+        record_rest(resting, 1h, start);
+        upsert_target(table, entry("t1", 2), start + 1s);
+        CHECK(chosen(table, start + 1s) == "t1");
+    }
+    SUBCASE("an endless wish is bounded")
+    {
+        record_rest(resting, 24h, start);
+        CHECK(chosen(table, start + max_rest - 1ms) == "t2");
+        CHECK(chosen(table, start + max_rest) == "t1");
+    }
+    SUBCASE("if all rest, the end of the first rest is known")
+    {
+        record_rest(resting, 5s, start);
+        record_rest(table.targets.at("t2"), 4s, start);
+        auto query = choice_query{};
+        query.service = "app";
+        const auto choice = choose_target(table, query, {}, start + 1s);
+        CHECK(choice.chosen == nullptr);
+        CHECK(choice.reason == no_target_reason::all_resting);
+        CHECK(choice.first_rest_end == start + 4s);
+    }
+}
+
+TEST_CASE("target_notices: refused callers come back after the rest, spread, and within their time")
+{
+    CHECK(retry_after_rest(400ms, 10s, 0) == 400ms);
+    CHECK(retry_after_rest(400ms, 10s, 0.5) == 500ms);
+    CHECK(retry_after_rest(1min, 3s, 0.9) <= 1s);
+    CHECK(retry_after_rest(1min, 0s, 0.9) > 0s);
+}
+
+// Guards against requests for a target that has turned one away and wants to rest, and against
+// waiting for targets that surely will not take the request in time.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "target_notices: requests go elsewhere while a target rests, and are "
+                  "refused at once while all do")
+{
+    auto& first = add_target("app-1", "app");
+    auto& second = add_target("app-2", "app");
+    publish(1);
+    add_instance();
+    wait_ready();
+    wait([&] { return instances[0]->view().targets.targets.size() == 2; });
+    wait([&] { return instances[0]->view().retries.min_per_second > 0; });
+    first.set_mode(target_mode::full);
+    first.set_rest(1h);
+    CHECK(ask("/book/1").head.status == 200);
+    CHECK(second.run_counts().size() == 1);
+    first.set_mode(target_mode::normal);
+    for (auto count = 0; count < 10; ++count) {
+        CHECK(ask("/book/1").head.status == 200);
+    }
+    CHECK(first.run_counts().empty());
+    second.set_mode(target_mode::full);
+    second.set_rest(1h);
+    // the refusal of the second target itself
+    CHECK(ask("/book/1").head.status == 503);
+    second.set_mode(target_mode::normal);
+    const auto ran = second.run_counts().size();
+    const auto refused = ask("/book/1");
+    CHECK(refused.head.status == 503);
+    CHECK_FALSE(find_field(refused.head.fields, "X-Server-Seal"));
+    const auto wait_s = std::stod(std::string{*find_field(refused.head.fields, "Retry-After")});
+    // a third of the four seconds that the caller has
+    CHECK(wait_s > 0);
+    CHECK(wait_s < 4.0 / 3);
+    CHECK(second.run_counts().size() == ran);
+    CHECK(first.run_counts().empty());
+}
