Do not take an instance that found nobody for a fleet of one

Cause: 2.5 s after a start the member list counted as complete. One with the instance alone was read as a fleet of one, which may use half of a cold target's allowance, and half of the retry slack.

Change: knows_fleet_size, pure. An instance whose seeds name others and that has heard of none does not know the size of the fleet: no share of cold targets, no retry slack. After the first contact the list counts after 0.6 of the settle time.

Evidence: "fleet_size: any number of instances that are alone keep a cold target's bound", which plays 2, 3, 6 and 195 instances alone, in halves and together.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/core/supervisor.hpp"
@@ -92,6 +93,8 @@
     timer hold_timer_;
     timer shutdown_timer_;
     time_point started_{};
+    /// When another instance was first heard of.
+    std::optional<time_point> first_contact_;
     time_point shutdown_begun_{};
     std::uint64_t announced_revision_ = 0;
     bool announced_ready_ = false;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/routing/fleet_size.hpp"
 
 namespace cyclamenpost {
 
@@ -333,9 +334,20 @@
 
 auto entry_instance::refresh_members() -> void
 {
-    const auto settled =
-        started_ != time_point{} && monotonic_now() - started_ > settings_.membership_settle_time;
-    view_.members = settled ? peers_.instance_ids() : std::vector<std::string>{};
+    const auto now = monotonic_now();
+    auto ids = peers_.instance_ids();
+    if (ids.size() > 1 && !first_contact_) {
+        first_contact_ = now;
+    }
+    auto known = member_knowledge{};
+    known.since_start = started_ == time_point{} ? duration::zero() : now - started_;
+    if (first_contact_) {
+        known.since_contact = now - *first_contact_;
+    }
+    known.expects_others = names_others(settings_.seeds, settings_.peer_address);
+    known.settle_time = settings_.membership_settle_time;
+    const auto settled = knows_fleet_size(known);
+    view_.members = settled ? std::move(ids) : std::vector<std::string>{};
     view_.retries = divide_retry_budget(
         {settings_.retry_budget_ratio, settled ? settings_.retry_slack : 0}, view_.members.size());
 }
