--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -130,6 +130,22 @@
     CHECK(decode_answer(head).leaving);
 }
 
+// Guards against an absurd number of a caller or a target that overflows a time.
+TEST_CASE("platform_adapter: times in headers are bounded")
+{
+    constexpr auto day = std::chrono::hours{24};
+    auto request = request_head{};
+    request.fields = {{"X-Deadline-Ms", "9223372036854775807"}};
+    CHECK(decode_request(request).deadline == day);
+    request.fields = {{"X-Deadline-Ms", "-9223372036854775808"}};
+    CHECK(decode_request(request).deadline == -day);
+    request.fields = {{"X-Deadline-Ms", "9223372036854775808"}};
+    CHECK_FALSE(decode_request(request).deadline);
+    auto answer = response_head{};
+    answer.fields = {{"X-Cold-Ms", "9223372036854775807"}};
+    CHECK(decode_answer(answer).cold_remaining == day);
+}
+
 TEST_CASE("platform_adapter: the time that a target asks for is a number of seconds")
 {
     const auto rest = [](int status, const std::string& text) {
