--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -41,7 +41,8 @@
                             .dump());
     }
 
-    auto accept(tcp_connection accepted, std::function<void(const received_request&)> serve) -> void
+    auto accept(tcp_connection accepted, const std::function<void(const received_request&)>& serve)
+        -> void
     {
         auto* connection = &connections.emplace_back(std::move(accepted));
         auto text = std::make_shared<std::string>();
