Log over which connection an attempt went and how much of it was sent

The line of an attempt said neither whether its connection was new, kept or established, nor how many bytes had left, so a connection that was taken for unestablished could not be told from a count that was lost; the line of a refusal did not say why it is true, and two lines with one id did not say whether the caller had sent it twice. Change: attempt_ended has exchanges, established and sent_bytes; request has unsent, not_executed, caller and caller_requests.

--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -65,6 +65,16 @@
     bool fresh_connection = false;
 };
 
+/// What is known of one exchange's use of its connection, for log lines.
+struct exchange_record {
+    /// Requests that the connection carried before.
+    std::uint64_t earlier_exchanges = 0;
+    /// Whether the connection has ever been established; it may be closed since.
+    bool established = false;
+    /// Bytes of the request that were handed to the kernel.
+    std::uint64_t sent_bytes = 0;
+};
+
 namespace detail {
 struct client_connection;
 struct client_pool;
@@ -93,6 +103,9 @@
     /// Whether the exchange runs on a connection that was used before.
     auto reused() const -> bool;
 
+    /// The use of the connection so far, or up to the end of the exchange if it has ended.
+    auto record() const -> exchange_record;
+
     /// Pauses or resumes reading the response.
     auto set_reading(bool enabled) -> void;
 
@@ -102,6 +115,7 @@
 private:
     friend class http1_client;
     std::shared_ptr<detail::client_connection> connection_;
+    std::shared_ptr<exchange_record> record_;
     std::uint64_t exchange_number_ = 0;
 };
 
--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,6 +50,8 @@
     std::string body;
     /// Address of the caller, "ip:port".
     std::string peer;
+    /// Requests that the caller sent on the connection before.
+    std::uint64_t earlier_requests = 0;
     /// Time at which the first byte of the request was received.
     time_point first_byte_at{};
     /// Time at which the last byte of the request was received.
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -606,6 +606,9 @@
     if (next == next_step::retry && end != attempt_end::not_sent && !spend_retry_for_service()) {
         next = next_step_without_retry(facts);
     }
+    const auto record = attempt.record();
+    unsent_attempts += end == attempt_end::not_sent ? 1 : 0;
+    disclaimed_attempts += end == attempt_end::not_executed ? 1 : 0;
     state.metrics
         .counter_of("cyclamenpost_attempts_total", "Attempts at targets by end and next step.",
                     {{"end", std::string(name_in(attempt_end_names, end))},
@@ -618,6 +621,9 @@
                {"cause", std::string{cause}},
                {"status", std::to_string(answer_head.status)},
                {"took_ms", milliseconds_text(monotonic_now() - attempt_begun)},
+               {"exchanges", std::to_string(record.earlier_exchanges)},
+               {"established", record.established ? "1" : "0"},
+               {"sent_bytes", std::to_string(record.sent_bytes)},
                {"runs", std::to_string(runs)},
                {"next", std::string(name_in(next_step_names, next))}});
     switch (next) {
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -95,6 +95,10 @@
     std::uint32_t attempts = 0;
     /// Attempts in which the target may have executed the request.
     std::uint32_t runs = 0;
+    /// Attempts of which no byte was sent.
+    std::uint32_t unsent_attempts = 0;
+    /// Attempts of which the target said that it had not executed the request.
+    std::uint32_t disclaimed_attempts = 0;
     event_filter events;
     /// Bytes that this request has in `state.buffered`.
     std::size_t held_bytes = 0;
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -103,9 +103,13 @@
                {"cause", std::string{cause}},
                {"sends", std::to_string(attempts)},
                {"runs", std::to_string(runs)},
+               {"unsent", std::to_string(unsent_attempts)},
+               {"not_executed", std::to_string(disclaimed_attempts)},
                {"events", std::to_string(events.passed)},
                {"first_ms", milliseconds_text(first)},
-               {"took_ms", milliseconds_text(now - arrived)}});
+               {"took_ms", milliseconds_text(now - arrived)},
+               {"caller", exchange->peer},
+               {"caller_requests", std::to_string(exchange->earlier_requests)}});
 }
 
 auto forward_job::record_metrics(std::string_view outcome_name, std::string_view cause) -> void
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -65,10 +65,11 @@
     /// Number of exchanges begun on the connection; identifies the current one.
     std::uint64_t exchange_number = 0;
     std::uint64_t sent_bytes_before = 0;
-    bool busy = false;
-    /// Whether bytes of the last request were handed to the kernel. Kept after the connection is
+    /// Record of the current or last exchange, shared with its owner. Kept after the connection is
     /// closed, because it decides whether the request may be retried.
-    bool has_sent = false;
+    std::shared_ptr<exchange_record> record;
+    bool established = false;
+    bool busy = false;
     bool reused = false;
     /// The response being received does not belong to the request, or is an interim (1xx) one.
     bool skipping = false;
@@ -94,6 +95,7 @@
     auto end_exchange(bool more_bytes) -> void;
     auto fail(exchange_failure reason) -> void;
     auto drop() -> void;
+    /// Brings the record's count of sent bytes up to date.
     auto note_sent() -> void;
 };
 
@@ -119,6 +121,10 @@
     parser = std::make_unique<http1_parser>(http1_parser::kind::response,
                                             std::move(parser_handlers), max_response_header_bytes);
     auto events = tcp_handlers{};
+    events.on_connected = [this] {
+        established = true;
+        record->established = true;
+    };
     events.on_bytes = [this](std::string_view bytes) {
         const auto self = shared_from_this();
         on_bytes(bytes);
@@ -141,7 +147,9 @@
     response_complete = false;
     ++exchange_number;
     sent_bytes_before = tcp.sent_bytes();
-    has_sent = false;
+    record = std::make_shared<exchange_record>();
+    record->earlier_exchanges = exchange_number - 1;
+    record->established = established;
     parser->expect_no_body(request.head.method == "HEAD");
     tcp.send(write_request_head(request.head, request.body.size()) + request.body);
 }
@@ -253,12 +261,12 @@
     }
     const auto keep = owner && reusable && !more_bytes && tcp && tcp.unsent_bytes() == 0 &&
                       idle_limit > duration::zero();
+    note_sent();
     if (keep) {
         idle_since = monotonic_now();
         owner->keep(shared_from_this());
     }
     else {
-        note_sent();
         tcp.close();
     }
     if (events.on_complete) {
@@ -278,7 +286,10 @@
 
 auto client_connection::note_sent() -> void
 {
-    has_sent = has_sent || tcp.sent_bytes() > sent_bytes_before;
+    // a connection that has been given up counts no bytes any more
+    if (record && tcp.sent_bytes() > sent_bytes_before) {
+        record->sent_bytes = tcp.sent_bytes() - sent_bytes_before;
+    }
 }
 
 auto client_connection::drop() -> void
@@ -345,6 +356,7 @@
     if (this != &other) {
         cancel();
         connection_ = std::move(other.connection_);
+        record_ = std::move(other.record_);
         exchange_number_ = other.exchange_number_;
     }
     return *this;
@@ -366,7 +378,7 @@
         return connection_ != nullptr;
     }
     connection_->note_sent();
-    return connection_->has_sent;
+    return record_->sent_bytes > 0;
 }
 
 auto client_exchange::connected() const -> bool
@@ -379,6 +391,14 @@
     return connection_ && connection_->reused;
 }
 
+auto client_exchange::record() const -> exchange_record
+{
+    if (*this) {
+        connection_->note_sent();
+    }
+    return record_ ? *record_ : exchange_record{};
+}
+
 auto client_exchange::set_reading(bool enabled) -> void
 {
     if (*this) {
@@ -431,6 +451,7 @@
     connection->begin(request, std::move(handlers));
     auto exchange = client_exchange{};
     exchange.exchange_number_ = connection->exchange_number;
+    exchange.record_ = connection->record;
     exchange.connection_ = std::move(connection);
     return exchange;
 }
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -45,6 +45,8 @@
     tcp_connection tcp;
     std::unique_ptr<http1_parser> parser;
     std::string peer;
+    /// Requests that were received completely.
+    std::uint64_t requests = 0;
     /// Received bytes that have not been parsed yet.
     std::string unparsed;
     std::string body;
@@ -204,6 +206,7 @@
     received->head = std::move(parser->request());
     received->body = std::exchange(body, {});
     received->peer = peer;
+    received->earlier_requests = requests++;
     received->first_byte_at = first_byte_at;
     received->last_byte_at = monotonic_now();
     keep_alive = received->head.keep_alive;
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -358,3 +358,28 @@
     CHECK(loop.run_until([&] { return closed; }, limit));
     CHECK_FALSE(call.ended());
 }
+
+TEST_CASE_FIXTURE(call_test, "http1_client: an exchange tells how it used its connection, also after "
+                             "its end")
+{
+    auto second = observed_call{};
+    auto& peer = begin_second(second);
+    const auto request_bytes = received.size();
+    CHECK(call.exchange.record().earlier_exchanges == 0);
+    CHECK(call.exchange.record().established);
+    CHECK(call.exchange.record().sent_bytes == request_bytes);
+    peer.reset();
+    REQUIRE(loop.run_until([&] { return second.ended(); }, limit));
+    CHECK(second.exchange.record().earlier_exchanges == 1);
+    CHECK(second.exchange.record().established);
+    CHECK(second.exchange.record().sent_bytes == request_bytes);
+}
+
+TEST_CASE_FIXTURE(call_test, "http1_client: an exchange without a connection has used none")
+{
+    listener.close();
+    call.send(client, address, "a");
+    wait();
+    CHECK_FALSE(call.exchange.record().established);
+    CHECK(call.exchange.record().sent_bytes == 0);
+}
