Soak requests that may run once at targets that reset connections

The soak had no stream that may run once, and its targets lost answers by an orderly close, which never shows as a hang-up. Streams of the incident's kind were checked nowhere. Draws for the new route have a generator of their own, so the seeds of earlier failures keep their faults.

--- a/fakes/lib/fake_target.cpp
+++ b/fakes/lib/fake_target.cpp
@@ -205,7 +205,12 @@
         return;
     }
     if (mode_ == target_mode::answer_lost) {
-        current.exchange->abort();
+        if (run_counts_.size() % 2 == 0) {
+            current.exchange->reset();
+        }
+        else {
+            current.exchange->abort();
+        }
         end_run(current);
         return;
     }
--- a/fakes/lib/fake_target.hpp
+++ b/fakes/lib/fake_target.hpp
@@ -15,7 +15,7 @@
     normal,
     /// Does not run the request and answers 503 with X-Not-Executed.
     full,
-    /// Runs the request and resets the connection instead of answering.
+    /// Runs the request and resets or closes the connection, in turn, instead of answering.
     answer_lost,
     /// Runs the request and never answers.
     mute,
--- a/fakes/lib/sample_configuration.cpp
+++ b/fakes/lib/sample_configuration.cpp
@@ -13,6 +13,7 @@
     const char* service;
     int max_attempts;
     bool takes_prompt;
+    bool resumable;
 };
 
 auto route_entry(const sample_configuration& sample, const route_options& options) -> nlohmann::json
@@ -28,7 +29,7 @@
             {"max_attempts", options.max_attempts},
             {"public", false},
             {"session_affinity", options.takes_prompt},
-            {"stream_resume", options.takes_prompt}};
+            {"stream_resume", options.resumable}};
 }
 
 auto service_entry(const sample_configuration& sample, const char* name) -> nlohmann::json
@@ -47,9 +48,10 @@
     auto text = nlohmann::json{
         {"version", sample.version},
         {"routes",
-         {route_entry(sample, {"book", "non_idempotent", "app", 1, false}),
-          route_entry(sample, {"read", "idempotent", "app", 2, false}),
-          route_entry(sample, {"quote", "streaming", "engine", 2, true})}},
+         {route_entry(sample, {"book", "non_idempotent", "app", 1, false, false}),
+          route_entry(sample, {"read", "idempotent", "app", 2, false, false}),
+          route_entry(sample, {"quote", "streaming", "engine", 2, true, true}),
+          route_entry(sample, {"tag", "streaming", "engine", 1, true, false})}},
         {"services", {service_entry(sample, "app"), service_entry(sample, "engine")}},
         {"tenants", nlohmann::json::array()}};
     if (sample.with_organisation) {
--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -192,6 +192,9 @@
 
 auto soak_fleet::inject_fault(std::mt19937_64& random) -> std::string
 {
+    if (options_.faults == soak_faults::lost_answers) {
+        return lose_answers(random);
+    }
     switch (random() % 4) {
     case 0:
         return inject_process_fault(random);
@@ -223,18 +226,38 @@
         kill(instance.pid, SIGHUP);
         return "hup " + instance.name;
     default:
-        instance.paused = true;
-        kill(instance.pid, SIGSTOP);
-        resume_timers_.push_back(loop_.call_after(pause_duration, [&instance, pid = instance.pid] {
-            if (instance.pid == pid) {
-                kill(pid, SIGCONT);
-                instance.paused = false;
-            }
-        }));
-        return "pause " + instance.name;
+        return pause(instance, pause_duration);
     }
 }
 
+auto soak_fleet::pause(soak_instance& instance, duration span) -> std::string
+{
+    instance.paused = true;
+    kill(instance.pid, SIGSTOP);
+    resume_timers_.push_back(loop_.call_after(span, [&instance, pid = instance.pid] {
+        if (instance.pid == pid) {
+            kill(pid, SIGCONT);
+            instance.paused = false;
+        }
+    }));
+    return "pause " + instance.name;
+}
+
+auto soak_fleet::lose_answers(std::mt19937_64& random) -> std::string
+{
+    auto& instance = instances_[random() % instances_.size()];
+    if (random() % 3 == 0 && instance.pid > 0 && !instance.paused) {
+        return pause(instance, pause_duration * (1 + random() % 4) / 4);
+    }
+    constexpr std::array modes{target_mode::normal,      target_mode::answer_lost,
+                               target_mode::answer_lost, target_mode::full,
+                               target_mode::cut_stream,  target_mode::unproven_refusal};
+    auto& target = targets_[random() % targets_.size()];
+    const auto mode = modes.at(random() % modes.size());
+    target.fake->set_mode(mode);
+    return "target " + target.fake->id() + " " + std::string{name_in(target_mode_names, mode)};
+}
+
 auto soak_fleet::inject_target_fault(std::mt19937_64& random) -> std::string
 {
     auto& target = targets_[random() % targets_.size()];
--- a/fakes/lib/soak_fleet.hpp
+++ b/fakes/lib/soak_fleet.hpp
@@ -16,6 +16,18 @@
 
 namespace cyclamenpost::fakes {
 
+/// Which faults a soak injects.
+enum class soak_faults {
+    all,
+    /// Targets that lose answers or refuse, and instances that are paused.
+    lost_answers,
+};
+
+inline constexpr std::array soak_faults_names{
+    enum_name<soak_faults>{soak_faults::all, "all"},
+    enum_name<soak_faults>{soak_faults::lost_answers, "lost_answers"},
+};
+
 /// Options of a soak test.
 struct soak_options {
     /// Path of the entry daemon.
@@ -27,6 +39,7 @@
     /// Targets of each service.
     int targets = 3;
     int callers = 12;
+    soak_faults faults = soak_faults::all;
 };
 
 /// An entry instance in its own process. It reaches the store through a fault proxy. `front`,
@@ -97,6 +110,8 @@
     auto inject_target_fault(std::mt19937_64& random) -> std::string;
     auto inject_link_fault(std::mt19937_64& random) -> std::string;
     auto inject_store_fault(std::mt19937_64& random) -> std::string;
+    auto lose_answers(std::mt19937_64& random) -> std::string;
+    auto pause(soak_instance& instance, duration span) -> std::string;
 
     event_loop& loop_;
     soak_options options_;
--- a/fakes/soak.cpp
+++ b/fakes/soak.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// callers, targets and proxies of a hundred instances share the loop
+constexpr auto max_connections = 16'384U;
 constexpr duration restart_period = std::chrono::milliseconds{200};
 constexpr duration request_timeout = std::chrono::milliseconds{3500};
 // callers must be served again within this time after the last fault (the users' bound is 12 s)
@@ -31,10 +33,12 @@
 /// A fleet under random faults, its callers, and the violations that they found.
 struct soak {
     soak_options options;
-    event_loop loop;
+    event_loop loop{max_connections};
     soak_fleet fleet;
     http1_client client{loop, std::chrono::seconds{5}};
     std::mt19937_64 random;
+    /// Draws for routes that came later, so that the seeds of earlier failures keep their faults.
+    std::mt19937_64 later_random;
     std::vector<std::unique_ptr<soak_caller>> callers;
     std::map<std::string, int> counts;
     std::vector<std::string> violations;
@@ -48,7 +52,10 @@
     int last_request_number = 0;
 
     explicit soak(soak_options chosen)
-        : options(std::move(chosen)), fleet(loop, options), random(options.seed)
+        : options(std::move(chosen)),
+          fleet(loop, options),
+          random(options.seed),
+          later_random(options.seed + 1)
     {}
 
     auto report_violation(const std::string& what, const soak_caller& caller) -> void
@@ -88,10 +95,24 @@
     return events;
 }
 
+auto is_stream(const soak_caller& caller) -> bool
+{
+    return caller.route == "quote" || caller.route == "tag";
+}
+
+/// Whether the request may run once at most.
+auto runs_once(const soak_caller& caller) -> bool
+{
+    return caller.route == "book" || caller.route == "tag";
+}
+
 auto soak::send(soak_caller& caller) -> void
 {
     constexpr std::array routes{"book", "read", "quote"};
     caller.route = routes[random() % routes.size()];
+    if (caller.route == "quote" && later_random() % 2 == 0) {
+        caller.route = "tag";
+    }
     caller.id = "s" + std::to_string(++last_request_number);
     caller.instance = random() % fleet.instances().size();
     caller.body.clear();
@@ -106,7 +127,7 @@
                            {"X-Attempt-Id", caller.id},
                            {"X-Deadline-Ms", "3000"},
                            {"X-Api-Key", "always"}};
-    if (caller.route == "quote") {
+    if (is_stream(caller)) {
         request.head.fields.push_back(
             {"X-Prompt-Prefix",
              "a1:50,b" + std::to_string(last_request_number % 5) + ":900,c1:10"});
@@ -137,20 +158,20 @@
 {
     constexpr auto ok = 200;
     const auto run_count = fleet.run_count(caller.id);
-    if (caller.route == "book" && run_count > 1) {
-        report_violation("a booking ran more than once", caller);
+    if (runs_once(caller) && run_count > 1) {
+        report_violation("a " + caller.route + " request ran more than once", caller);
     }
     const auto refused_unexecuted =
         caller.status == 503 || caller.status == 429 || caller.status == 408;
-    if (complete && refused_unexecuted && caller.route == "book") {
+    if (complete && refused_unexecuted && runs_once(caller)) {
         if (run_count > 0) {
-            report_violation("a refused booking ran", caller);
+            report_violation("a refused " + caller.route + " request ran", caller);
         }
         refused.push_back(caller.id);
     }
     if (complete && caller.status == ok) {
         const auto has_expected_body =
-            caller.route == "quote"  ? without_comments(caller.body) == complete_stream()
+            is_stream(caller)        ? without_comments(caller.body) == complete_stream()
             : caller.route == "book" ? caller.body.ends_with(" to " + caller.id)
                                      : caller.body.starts_with("answer of ");
         if (!has_expected_body) {
@@ -190,15 +211,17 @@
     const auto fault = fleet.inject_fault(random);
     std::cout << "fault " << fault << std::endl;
     constexpr auto max_fault_gap_ms = 900;
-    fault_timer = loop.call_after(std::chrono::milliseconds{50 + random() % max_fault_gap_ms},
-                                  [this] { inject_fault(); });
+    constexpr auto max_short_gap_ms = 100;
+    const auto gap_ms = options.faults == soak_faults::all ? 50 + random() % max_fault_gap_ms
+                                                           : 1 + random() % max_short_gap_ms;
+    fault_timer = loop.call_after(std::chrono::milliseconds{gap_ms}, [this] { inject_fault(); });
 }
 
 auto soak::report() -> int
 {
     for (const auto& id : refused) {
         if (fleet.run_count(id) > 0) {
-            violations.push_back("a refused booking ran later: " + id);
+            violations.push_back("a refused request ran later: " + id);
         }
     }
     const auto recovery_time = last_failure - faults_cleared_at;
@@ -260,6 +283,11 @@
     auto instances =
         TCLAP::ValueArg<int>{"", "instances", "number of entry instances", false, 4, "N", line};
     auto callers = TCLAP::ValueArg<int>{"", "callers", "number of callers", false, 12, "N", line};
+    auto targets = TCLAP::ValueArg<int>{
+        "", "targets", "number of targets of each service", false, 3, "N", line};
+    auto lost_answers = TCLAP::SwitchArg{
+        "", "lost-answers", "inject only lost answers, refusals and pauses, in close succession",
+        line};
     line.parse(argc, argv);
     auto options = soak_options{};
     options.program = program.getValue();
@@ -267,5 +295,7 @@
     options.fault_time = std::chrono::seconds{seconds.getValue()};
     options.instances = instances.getValue();
     options.callers = callers.getValue();
+    options.targets = targets.getValue();
+    options.faults = lost_answers.getValue() ? soak_faults::lost_answers : soak_faults::all;
     return soak{options}.run();
 }
--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -76,6 +76,9 @@
     /// Closes the connection so that the caller sees an incomplete response.
     auto abort() -> void;
 
+    /// Resets the connection instead of responding, as a process that crashes does.
+    auto reset() -> void;
+
     /// Buffered bytes of the response not yet handed to the kernel.
     auto unsent_bytes() const -> std::size_t;
 
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -401,6 +401,14 @@
     }
 }
 
+auto server_exchange::reset() -> void
+{
+    if (!std::exchange(answered_, true)) {
+        connection_->tcp.reset();
+        connection_->close();
+    }
+}
+
 auto server_exchange::unsent_bytes() const -> std::size_t
 {
     return connection_->tcp.unsent_bytes();
--- a/tests/unit-cut_heads.cpp
+++ b/tests/unit-cut_heads.cpp
@@ -139,7 +139,8 @@
         for (const auto& prefix : prefixes) {
             for (std::size_t cut = 0; cut < head.text.size(); ++cut) {
                 resets = cut % 2 == 0;
-                const auto whole = std::string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"};
+                const auto whole =
+                    std::string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"};
                 answer = [&](std::size_t earlier) {
                     return kept && earlier == 0 ? whole : prefix + head.text.substr(0, cut);
                 };
@@ -306,8 +307,9 @@
     }
 }
 
-TEST_CASE_FIXTURE(fleet_with_cut_heads, "cut_heads: a stream whose continuation ends within its head "
-                                        "does not reach the caller as complete")
+TEST_CASE_FIXTURE(fleet_with_cut_heads,
+                  "cut_heads: a stream whose continuation ends within its head "
+                  "does not reach the caller as complete")
 {
     add_target("engine-1", "engine").set_mode(fakes::target_mode::cut_stream);
     publish(1);
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -359,8 +359,9 @@
     CHECK_FALSE(call.ended());
 }
 
-TEST_CASE_FIXTURE(call_test, "http1_client: an exchange tells how it used its connection, also after "
-                             "its end")
+TEST_CASE_FIXTURE(call_test,
+                  "http1_client: an exchange tells how it used its connection, also after "
+                  "its end")
 {
     auto second = observed_call{};
     auto& peer = begin_second(second);
