Decide each step of a request in one pure function

Whether a request may have run was worked out in seven callbacks of forward_job, from the state of the connection, of the attempt and of flags; the two faults of the incident lived between two of them, and a false 'not sent' became a refusal as soon as a second target turned the request away. Change: advance() takes the request's progress and one event with its facts and returns what to do; judge_answer() says what a complete answer is worth. forward_job gathers facts and does what it is told; it no longer decides. Behaviour is as before, except that a stalled stream which can't move gets its second look as well, and the ends of streams count in cyclamenpost_attempts_total. Measured: unit-request_steps plays every order of events with each report of a connection's end left out as well, to a depth of 24 (629 states): nothing runs twice, is refused falsely, is answered twice or waits for nothing.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr auto misdirected = 421;
-constexpr auto request_timeout = 408;
-constexpr auto too_many_requests = 429;
-constexpr auto server_error = 500;
 
 // a request waits for an eligible target for this fraction of its latency objective; one that waits
 // longer would miss the objective, so it is refused with a Retry-After
@@ -46,13 +43,6 @@
            !find_field(head.fields, "Transfer-Encoding");
 }
 
-/// Whether callers take the status for a promise that the request has not run and never will.
-auto promises_not_run(int status) -> bool
-{
-    return status == service_unavailable || status == too_many_requests ||
-           status == request_timeout || status == misdirected;
-}
-
 } // namespace
 
 auto forward_job::time_left() const -> duration
@@ -60,6 +50,12 @@
     return std::max<duration>(deadline - monotonic_now(), duration::zero());
 }
 
+auto forward_job::draw() const -> double
+{
+    constexpr auto steps = 1000;
+    return static_cast<double>(state.random() % steps) / steps;
+}
+
 /// Calls a member function after a delay, unless the job has ended by then.
 auto forward_job::call_later(duration delay, void (forward_job::*step)()) -> timer
 {
@@ -89,8 +85,11 @@
     if (stop_if_blocked()) {
         return;
     }
+    progress.repeatable = repeatable(*matched_route);
+    progress.max_runs = matched_route->max_attempts;
     if (service == nullptr) {
-        refuse("service_unknown");
+        handle(event_of(request_event_kind::no_target), "service_unknown",
+               target_outcome::cancelled);
         return;
     }
     auto& budget = state.view.retry_budgets[service->name];
@@ -124,8 +123,13 @@
                               choice.cold_without_quota == 0 &&
                               choice.first_rest_end.value_or(now) > wait_end;
     if (now > wait_end || rests_longer || choice.reason == no_target_reason::all_tried) {
-        const auto rest = choice.first_rest_end ? *choice.first_rest_end - now : duration::zero();
-        refuse(name_in(no_target_reason_names, choice.reason), rest);
+        auto retry_after = std::optional<duration>{};
+        if (choice.first_rest_end && *choice.first_rest_end > now) {
+            retry_after = retry_after_rest(*choice.first_rest_end - now, time_left(), draw());
+        }
+        handle(event_of(request_event_kind::no_target),
+               name_in(no_target_reason_names, choice.reason), target_outcome::cancelled,
+               retry_after);
         return;
     }
     wait_timer = call_later(target_poll_period, &forward_job::try_next);
@@ -172,11 +176,10 @@
     answer_head = {};
     answer_body.clear();
     hold_bytes(state.buffered, held_bytes, 0);
-    head_seen = false;
     streaming_events = false;
     attempt_begun = now;
     tried.insert(target_id);
-    ++attempts;
+    advance(progress, event_of(request_event_kind::attempt_begun));
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
     answer_underway = false;
@@ -195,6 +198,7 @@
     handlers.on_body = [this](std::string_view bytes) { on_answer_body(bytes); };
     handlers.on_complete = [this] { on_answer_complete(); };
     handlers.on_failed = [this](exchange_failure how) { on_attempt_failed(how); };
+    attempt = {};
     const auto self = shared_from_this();
     const auto begun = try_or(
         [&]() -> result<void> {
@@ -203,7 +207,10 @@
         },
         [&](const error& failure) { log_error("connect", failure); });
     if (!begun) {
-        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "no_connection");
+        auto event = event_of(request_event_kind::connection_ended);
+        event.sent = false;
+        add_retry_facts(event);
+        handle(event, "no_connection", target_outcome::unreachable);
         return;
     }
     attempt_timer =
@@ -235,44 +242,32 @@
 {
     const auto silence = silence_timeout();
     const auto waited = monotonic_now() - attempt_begun;
-    auto seen = silent_attempt{attempt.connected(), attempt.sent(), false};
-    seen.movable = seen.connected && waited >= silence && can_move_elsewhere();
-    switch (decide_silence_step(seen)) {
-    case silence_step::keep_waiting:
-        attempt_timer = call_later(waited < silence ? silence - waited : silence,
-                                   &forward_job::on_attempt_timeout);
-        return;
-    case silence_step::end_unsent:
-        attempt.cancel();
-        end_attempt(attempt_end::not_sent, target_outcome::unreachable, "connect_timeout");
-        return;
-    case silence_step::end_lost:
-        break_off(seen.connected ? "silent" : "connection_gone");
-        return;
+    auto event = event_of(request_event_kind::silent);
+    event.overdue = waited >= silence;
+    if (!event.connected || (event.overdue && progress.repeatable)) {
+        add_retry_facts(event);
     }
-}
-
-auto forward_job::can_move_elsewhere() -> bool
-{
-    return repeatable(*matched_route) && runs + 1 < matched_route->max_attempts &&
-           retries_left(state.view.retry_budgets[service->name], monotonic_now()) > 0 &&
-           has_untried_target();
+    attempt_timer =
+        call_later(waited < silence ? silence - waited : silence, &forward_job::on_attempt_timeout);
+    const auto cause = event.connected ? "silent"
+                       : event.sent    ? "connection_gone"
+                                       : "connect_timeout";
+    handle(event, cause, event.sent ? target_outcome::failed : target_outcome::unreachable);
 }
 
 auto forward_job::break_off(std::string_view cause) -> void
 {
-    const auto self = shared_from_this();
-    attempt.cancel();
-    ++runs;
-    end_attempt(attempt_end::lost, target_outcome::failed, cause);
+    auto event = event_of(request_event_kind::unusable);
+    add_retry_facts(event);
+    handle(event, cause, target_outcome::failed);
 }
 
 auto forward_job::note_progress() -> void
 {
     const auto reached = streaming_events ? events.passed : answer_body.size();
     const auto least = streaming_events ? 1 : min_progress_bytes;
-    if (reached >= progress + least) {
-        progress = reached;
+    if (reached >= answer_size + least) {
+        answer_size = reached;
         last_progress = monotonic_now();
         looked_stalled = false;
     }
@@ -282,7 +277,11 @@
 {
     const auto limit = stall_timeout();
     const auto stalled = monotonic_now() - last_progress;
-    if (paused || stalled < limit || !can_move_elsewhere()) {
+    auto event = event_of(request_event_kind::stalled);
+    if (!paused && stalled >= limit && progress.repeatable) {
+        add_retry_facts(event);
+    }
+    if (paused || stalled < limit || !can_move(progress, event)) {
         const auto next = stalled < limit ? limit - stalled : limit;
         attempt_timer = call_later(next, &forward_job::watch_progress);
         return;
@@ -291,7 +290,7 @@
         attempt_timer = call_later(second_look_delay, &forward_job::watch_progress);
         return;
     }
-    break_off("stalled");
+    handle(event, "stalled", target_outcome::failed);
 }
 
 auto forward_job::note_target_news(int status, const answer_metadata& seen) -> void
@@ -338,7 +337,6 @@
 
 auto forward_job::on_answer_head(response_head& head) -> void
 {
-    head_seen = true;
     first_byte_at = monotonic_now();
     last_progress = first_byte_at;
     looked_stalled = false;
@@ -358,7 +356,7 @@
     }
     const auto success = head.status / 100 == 2;
     streaming_events = success && answer.event_stream && answer.has_receipt && !answer.encoded;
-    progress = streaming_events ? events.passed : 0;
+    answer_size = streaming_events ? events.passed : 0;
     if (streaming_events && affinity != 0) {
         state.last_prompt_targets.record(to_hex(affinity), target_id, first_byte_at);
     }
@@ -366,6 +364,7 @@
         auto passed = head;
         drop_hop_by_hop_fields(passed.fields);
         exchange->begin_stream(std::move(passed));
+        advance(progress, event_of(request_event_kind::answer_started));
     }
 }
 
@@ -410,84 +409,45 @@
 
 auto forward_job::on_answer_complete() -> void
 {
-    const auto self = shared_from_this();
-    const auto success = answer_head.status / 100 == 2;
+    const auto closed = ends_with_connection(answer_head);
+    auto seen = complete_answer{};
+    seen.status = answer_head.status;
     if (streaming_events) {
-        ++runs;
-        const auto closed = ends_with_connection(answer_head);
-        const auto end = judge_stream_end(events, closed);
-        if (end != stream_end::whole) {
-            if (closed && !answer_underway) {
-                note_crash();
-            }
-            end_attempt(attempt_end::lost, target_outcome::failed, name_in(stream_end_names, end));
-            return;
-        }
-        if (!closed) {
-            note_answer_underway();
-        }
-        release_target(target_outcome::succeeded);
-        exchange->finish();
-        finish(answer_head.status, "answered", name_in(stream_end_names, end));
-        return;
-    }
-    if (answer_head.status == misdirected) {
-        // the target is gone; until its entry goes too, it must not attract further requests
-        end_attempt(attempt_end::not_executed, target_outcome::unreachable, "other_target");
-        return;
-    }
-    if (answer.not_executed) {
-        end_attempt(attempt_end::not_executed, target_outcome::rejected, "not_executed");
-        return;
+        seen.stream = judge_stream_end(events, closed);
+    }
+    seen.not_executed = answer.not_executed;
+    seen.has_receipt = answer.has_receipt;
+    seen.encoded = answer.encoded;
+    seen.wants_rest = answer.rest > duration::zero();
+    seen.continues = progress.answer_started;
+    const auto verdict = judge_answer(seen);
+    if (streaming_events && verdict.end == attempt_end::lost && closed && !answer_underway) {
+        note_crash();
     }
-    ++runs;
-    if (!ends_with_connection(answer_head)) {
+    const auto begun = streaming_events ? verdict.end == attempt_end::answered
+                                        : verdict.end != attempt_end::not_executed;
+    if (begun && !closed) {
         note_answer_underway();
     }
-    if (success && (!answer.has_receipt || answer.encoded)) {
-        end_attempt(attempt_end::lost, target_outcome::failed,
-                    answer.has_receipt ? "encoded" : "no_receipt");
-        return;
-    }
-    if (promises_not_run(answer_head.status)) {
-        // the target does not say that it has not run the request, but callers would read it so;
-        // one that wants to rest is not ill
-        end_attempt(attempt_end::lost,
-                    answer.rest > duration::zero() ? target_outcome::rejected
-                                                   : target_outcome::failed,
-                    "unproven_refusal");
-        return;
-    }
-    if (success && exchange->answer_started()) {
-        end_attempt(attempt_end::lost, target_outcome::failed, "not_a_stream");
-        return;
-    }
-    if (answer_head.status >= server_error) {
-        end_attempt(attempt_end::target_error, target_outcome::failed, "target_error");
-        return;
-    }
-    if (exchange->answer_started()) {
-        end_attempt(attempt_end::lost, target_outcome::failed, "resume_refused");
-        return;
+    auto event = event_of(request_event_kind::answer_complete);
+    event.verdict = verdict.end;
+    if (verdict.end != attempt_end::answered) {
+        add_retry_facts(event);
     }
-    end_attempt(attempt_end::answered, target_outcome::succeeded, "answered");
+    handle(event, verdict.cause, verdict.health);
 }
 
 auto forward_job::on_attempt_failed(exchange_failure how) -> void
 {
-    const auto self = shared_from_this();
-    if (!attempt.sent()) {
-        end_attempt(attempt_end::not_sent, target_outcome::unreachable,
-                    name_in(exchange_failure_names, how));
-        return;
-    }
-    ++runs;
+    auto event = event_of(request_event_kind::connection_ended);
     // a target that crashes may end its connections either way, also after the head of an answer
     const auto closed = how == exchange_failure::reset || how == exchange_failure::cut_short;
-    if (closed && !answer_underway) {
+    if (event.sent && closed && !answer_underway) {
         note_crash();
     }
-    end_attempt(attempt_end::lost, target_outcome::failed, name_in(exchange_failure_names, how));
+    add_retry_facts(event);
+    handle(event, name_in(exchange_failure_names, how),
+           event.sent ? target_outcome::failed : target_outcome::unreachable);
 }
 
 auto forward_job::note_answer_underway() -> void
@@ -524,15 +484,9 @@
     if (answer_underway || !is_blocked(state.view.crashes, keys)) {
         return false;
     }
-    const auto self = shared_from_this();
-    withdraw_attempt();
-    constexpr auto cause = "crashes_targets";
-    if (runs > 0 || exchange->answer_started()) {
-        give_up(bad_gateway, cause);
-        return true;
-    }
     // a repeat would be refused as well, so the longest wait is asked for
-    send_local_reply(service_unavailable, retry_after_delay(time_left(), 1), cause);
+    handle(event_of(request_event_kind::blocked), "crashes_targets", target_outcome::cancelled,
+           retry_after_delay(time_left(), 1));
     return true;
 }
 
@@ -584,35 +538,31 @@
                .chosen != nullptr;
 }
 
-auto forward_job::spend_retry_for_service() -> bool
+auto forward_job::event_of(request_event_kind kind) const -> request_event
 {
-    return spend_retry(state.view.retry_budgets[service->name], monotonic_now());
+    auto event = request_event{};
+    event.kind = kind;
+    event.sent = in_flight && attempt.sent();
+    event.connected = attempt.connected();
+    event.time_left = time_left() > duration::zero();
+    return event;
 }
 
-auto forward_job::end_attempt(attempt_end end, target_outcome health, std::string_view cause)
-    -> void
+auto forward_job::add_retry_facts(request_event& event) -> void
 {
-    release_target(health);
-    auto facts = retry_context{};
-    facts.end = end;
-    facts.repeatable = repeatable(*matched_route);
-    facts.runs = runs;
-    facts.max_runs = matched_route->max_attempts;
-    facts.sends = attempts;
-    facts.time_left = time_left() > duration::zero();
-    // not needed for an answer, which is passed on in any case; the search visits all targets
-    facts.target_available = end != attempt_end::answered && has_untried_target();
-    auto next = decide_next_step(facts);
-    if (next == next_step::retry && end != attempt_end::not_sent && !spend_retry_for_service()) {
-        next = next_step_without_retry(facts);
-    }
+    event.target_available = has_untried_target();
+    event.retry_allowed =
+        retries_left(state.view.retry_budgets[service->name], monotonic_now()) > 0;
+}
+
+auto forward_job::record_attempt(const request_step& step, std::string_view cause) -> void
+{
+    const auto end = *step.attempt_ended;
     const auto record = attempt.record();
-    unsent_attempts += end == attempt_end::not_sent ? 1 : 0;
-    disclaimed_attempts += end == attempt_end::not_executed ? 1 : 0;
+    const auto next = std::string{name_in(request_action_names, step.action)};
     state.metrics
         .counter_of("cyclamenpost_attempts_total", "Attempts at targets by end and next step.",
-                    {{"end", std::string(name_in(attempt_end_names, end))},
-                     {"next", std::string(name_in(next_step_names, next))}})
+                    {{"end", std::string(name_in(attempt_end_names, end))}, {"next", next}})
         .add();
     log_event(end == attempt_end::answered ? log_level::debug : log_level::info, "attempt_ended",
               {{"request", request.id},
@@ -624,21 +574,50 @@
                {"exchanges", std::to_string(record.earlier_exchanges)},
                {"established", record.established ? "1" : "0"},
                {"sent_bytes", std::to_string(record.sent_bytes)},
-               {"runs", std::to_string(runs)},
-               {"next", std::string(name_in(next_step_names, next))}});
-    switch (next) {
-    case next_step::pass_answer:
-        pass_answer();
+               {"runs", std::to_string(progress.runs)},
+               {"next", next}});
+}
+
+auto forward_job::handle(const request_event& event, std::string_view cause, target_outcome health,
+                         std::optional<duration> retry_after) -> void
+{
+    const auto self = shared_from_this();
+    const auto step = advance(progress, event);
+    if (!progress.attempting) {
+        attempt.cancel();
+        release_target(health);
+    }
+    if (step.attempt_ended) {
+        record_attempt(step, cause);
+    }
+    if (step.spends_retry) {
+        spend_retry(state.view.retry_budgets[service->name], monotonic_now());
+    }
+    switch (step.action) {
+    case request_action::wait:
         return;
-    case next_step::retry:
+    case request_action::try_target:
         try_next();
         return;
-    case next_step::refuse:
-        refuse(cause);
+    case request_action::pass_answer:
+        pass_answer();
+        return;
+    case request_action::end_stream:
+        exchange->finish();
+        finish(answer_head.status, "answered", cause);
         return;
-    case next_step::give_up:
-        give_up(bad_gateway, cause);
+    case request_action::refuse:
+        send_local_reply(service_unavailable,
+                         retry_after.value_or(retry_after_delay(time_left(), draw())), cause);
         return;
+    case request_action::give_up:
+        give_up(event.kind == request_event_kind::time_over ? gateway_timeout : bad_gateway, cause);
+        return;
+    case request_action::drop: {
+        constexpr auto client_closed = 499;
+        finish(client_closed, "caller_gone", cause);
+        return;
+    }
     }
 }
 
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -12,8 +12,8 @@
 #include "cyclamenpost/entry/forwarder.hpp"
 #include "cyclamenpost/limits/byte_budget.hpp"
 #include "cyclamenpost/placement/chat_table.hpp"
-#include "cyclamenpost/routing/attempts.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
+#include "cyclamenpost/routing/request_steps.hpp"
 
 namespace cyclamenpost {
 
@@ -76,13 +76,12 @@
     answer_metadata answer;
     response_head answer_head;
     std::string answer_body;
-    bool head_seen = false;
     bool in_flight = false;
     bool streaming_events = false;
     /// When the answer last grew by a whole event, or by a minimum of bytes without events.
     time_point last_progress{};
     /// Length of the answer's body, or number of its events, at that time.
-    std::uint64_t progress = 0;
+    std::uint64_t answer_size = 0;
     /// The target has begun the answer and gone on with it, so the request does not crash it.
     bool answer_underway = false;
     /// The answer was found stalled once; it counts as stalled if the next look finds no progress.
@@ -91,14 +90,7 @@
     // all attempts
     /// Ids of the targets that have been tried.
     std::set<std::string> tried;
-    /// Number of attempts, including those that could not be sent.
-    std::uint32_t attempts = 0;
-    /// Attempts in which the target may have executed the request.
-    std::uint32_t runs = 0;
-    /// Attempts of which no byte was sent.
-    std::uint32_t unsent_attempts = 0;
-    /// Attempts of which the target said that it had not executed the request.
-    std::uint32_t disclaimed_attempts = 0;
+    request_progress progress;
     event_filter events;
     /// Bytes that this request has in `state.buffered`.
     std::size_t held_bytes = 0;
@@ -136,26 +128,28 @@
     /// The connection was not established in time, or the target has not answered in time.
     auto on_attempt_timeout() -> void;
     auto on_deadline() -> void;
-    /// Cancels the attempt in progress, if any; it counts as a run if any of it was sent.
-    auto withdraw_attempt() -> void;
     /// Ends the request without a target's answer: refuses it if it certainly has not run.
     auto abandon(std::string_view cause) -> void;
     /// Looks whether the answer that has begun still makes progress.
     auto watch_progress() -> void;
     auto note_progress() -> void;
     auto on_caller_gone() -> void;
-    /// Records the end of the attempt and takes the next step: answer, retry, refuse or give up.
-    auto end_attempt(attempt_end end, target_outcome health, std::string_view cause) -> void;
+    /// An event with what the attempt in progress and the deadline say.
+    auto event_of(request_event_kind kind) const -> request_event;
+    /// Adds whether the request may be sent to another target.
+    auto add_retry_facts(request_event& event) -> void;
+    /// Decides what follows an event, and does it. `health` is what the event says of the target of
+    /// the attempt that it ends; `retry_after` the time after which a refused caller should return,
+    /// if it does not follow from the caller's deadline.
+    auto handle(const request_event& event, std::string_view cause, target_outcome health,
+                std::optional<duration> retry_after = {}) -> void;
+    auto record_attempt(const request_step& step, std::string_view cause) -> void;
     /// Records the end of the attempt in the target table, once.
     auto release_target(target_outcome health) -> void;
     /// Sends the buffered answer of the target to the caller.
     auto pass_answer() -> void;
     /// Sends the complete events of a stream to the caller.
     auto pass_events(std::string_view bytes) -> void;
-    /// Answers that the request did not run, and asks the caller to come back after `rest` or, if
-    /// that is 0, after a time that follows from its deadline. Calls `give_up` instead if it may
-    /// have run.
-    auto refuse(std::string_view cause, duration rest = {}) -> void;
     /// Answers that the outcome is unknown, or aborts an answer that has begun.
     auto give_up(int status, std::string_view cause) -> void;
     /// Sends an answer of the instance's own; finishes the job.
@@ -167,13 +161,12 @@
     auto query_targets() const -> choice_query;
     auto silence_timeout() const -> duration;
     auto stall_timeout() const -> duration;
-    /// Whether the request may be moved from its target, which still has it, to another one.
-    auto can_move_elsewhere() -> bool;
     /// Cancels the attempt because its answer cannot be used, and takes the next step.
     auto break_off(std::string_view cause) -> void;
     auto has_untried_target() -> bool;
-    auto spend_retry_for_service() -> bool;
     auto time_left() const -> duration;
+    /// A random number in [0, 1).
+    auto draw() const -> double;
     auto find_prompt_cache_source(const target_choice& choice) const -> std::string;
     auto call_later(duration delay, void (forward_job::*step)()) -> timer;
 };
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -11,10 +11,6 @@
 
 auto forward_job::pass_answer() -> void
 {
-    if (exchange->answer_started()) {
-        give_up(bad_gateway, "stream_lost");
-        return;
-    }
     auto head = answer_head;
     drop_hop_by_hop_fields(head.fields);
     head.keep_alive = true;
@@ -22,19 +18,6 @@
     finish(answer_head.status, answer.not_executed ? "not_run" : "answered", "target_answer");
 }
 
-auto forward_job::refuse(std::string_view cause, duration rest) -> void
-{
-    // a 503 states that the request did not run, so it must not be sent when it may have run
-    if (runs > 0 || exchange->answer_started()) {
-        give_up(bad_gateway, cause);
-        return;
-    }
-    const auto random = static_cast<double>(state.random() % 1000) / 1000;
-    const auto wait = rest > duration::zero() ? retry_after_rest(rest, time_left(), random)
-                                              : retry_after_delay(time_left(), random);
-    send_local_reply(service_unavailable, wait, cause);
-}
-
 auto forward_job::give_up(int status, std::string_view cause) -> void
 {
     if (exchange->answer_started()) {
@@ -56,34 +39,14 @@
     abandon("time_over");
 }
 
-auto forward_job::withdraw_attempt() -> void
-{
-    const auto may_have_run = in_flight && attempt.sent();
-    attempt.cancel();
-    if (may_have_run) {
-        ++runs;
-    }
-    release_target(target_outcome::cancelled);
-}
-
 auto forward_job::abandon(std::string_view cause) -> void
 {
-    const auto self = shared_from_this();
-    withdraw_attempt();
-    if (runs > 0 || exchange->answer_started()) {
-        give_up(gateway_timeout, cause);
-        return;
-    }
-    refuse(cause);
+    handle(event_of(request_event_kind::time_over), cause, target_outcome::cancelled);
 }
 
 auto forward_job::on_caller_gone() -> void
 {
-    const auto self = shared_from_this();
-    attempt.cancel();
-    release_target(target_outcome::cancelled);
-    constexpr auto client_closed = 499;
-    finish(client_closed, "caller_gone", "caller_closed");
+    handle(event_of(request_event_kind::caller_left), "caller_closed", target_outcome::cancelled);
 }
 
 auto forward_job::log_outcome(int status, std::string_view outcome_name, std::string_view cause)
@@ -101,10 +64,10 @@
                {"status", std::to_string(status)},
                {"outcome", std::string{outcome_name}},
                {"cause", std::string{cause}},
-               {"sends", std::to_string(attempts)},
-               {"runs", std::to_string(runs)},
-               {"unsent", std::to_string(unsent_attempts)},
-               {"not_executed", std::to_string(disclaimed_attempts)},
+               {"sends", std::to_string(progress.attempts)},
+               {"runs", std::to_string(progress.runs)},
+               {"unsent", std::to_string(progress.unsent)},
+               {"not_executed", std::to_string(progress.disclaimed)},
                {"events", std::to_string(events.passed)},
                {"first_ms", milliseconds_text(first)},
                {"took_ms", milliseconds_text(now - arrived)},
