Count a request as sent also after its exchange was cancelled

Change: sent() follows from the record of the exchange, which outlives the connection. Measured: the new test failed before (CHECK(call.exchange.sent()) was false), 42 cases of unit-http1_client and unit-forwarder pass.

--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -94,7 +94,8 @@
     /// Whether the exchange is in progress.
     explicit operator bool() const;
 
-    /// Whether any byte of the request may have reached the peer.
+    /// Whether any byte of the request may have reached the peer. Holds also after the exchange has
+    /// ended or was cancelled.
     auto sent() const -> bool;
 
     /// Whether the connection is established.
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -374,11 +374,7 @@
 
 auto client_exchange::sent() const -> bool
 {
-    if (!connection_ || connection_->exchange_number != exchange_number_) {
-        return connection_ != nullptr;
-    }
-    connection_->note_sent();
-    return record_->sent_bytes > 0;
+    return record().sent_bytes > 0;
 }
 
 auto client_exchange::connected() const -> bool
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -359,6 +359,16 @@
     CHECK_FALSE(call.ended());
 }
 
+// Guards against a request that is taken for unsent because its exchange has been given up.
+TEST_CASE_FIXTURE(call_test,
+                  "http1_client: a request that was sent counts as sent after its exchange "
+                  "was cancelled")
+{
+    begin();
+    call.exchange.cancel();
+    CHECK(call.exchange.sent());
+}
+
 TEST_CASE_FIXTURE(call_test,
                   "http1_client: an exchange tells how it used its connection, also after "
                   "its end")
