Take no request in a planned stop that the stop cannot finish

New requests were taken for 2.2 s after the signal whatever the grace time was, and however long requests to their service usually take; with a grace time of 2 s those of the last second were passed on and then cut off. Retries went on up to the caller's deadline, and targets were told a time limit that the process would not live to see. Change: plan_shutdown() derives all times of a stop from the signal and the grace time: requests are taken for a third of it at most (8 s: 2.2 s, as before), and only if twice the usual time of their service is left; others are refused at once, as another instance can serve them. The end of the stop is a deadline of the requests in progress too, so targets are told the time that is left and no retry begins that can't end.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -95,7 +95,6 @@
     time_point started_{};
     /// When another instance was first heard of.
     std::optional<time_point> first_contact_;
-    time_point shutdown_begun_{};
     std::uint64_t announced_revision_ = 0;
     bool announced_ready_ = false;
 };
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -2,12 +2,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/limits/retries.hpp"
 #include "cyclamenpost/routing/route_table.hpp"
+#include "cyclamenpost/routing/shutdown_plan.hpp"
 #include "cyclamenpost/routing/target_table.hpp"
 
 namespace cyclamenpost {
@@ -35,11 +37,8 @@
     retry_settings retries;
     /// What is known of requests that crash targets.
     crash_evidence crashes;
-    /// New requests are refused: a shutdown is under way and the cached directory answers that name
-    /// this instance have expired. A request that arrives now might not finish in time.
-    bool rejecting_requests = false;
-    /// A graceful shutdown has begun.
-    bool draining = false;
+    /// Times of the graceful shutdown that has begun, if any.
+    std::optional<shutdown_plan> stopping;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -59,6 +59,9 @@
     /// become current or can no longer be expected to become so soon.
     auto release_held() -> void;
 
+    /// Limits the requests in progress to the time that a shutdown leaves them.
+    auto limit_to_shutdown() -> void;
+
     /// Number of requests without a final answer.
     auto running() const -> std::size_t;
 
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -196,6 +196,9 @@
 auto record_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now)
     -> void;
 
+/// Average time for which a request has occupied a target of the service lately; 0 if none has.
+auto usual_request_time(const target_table& table, std::string_view service) -> duration;
+
 /// Records the time for which one request has occupied a target of the service.
 auto record_request_time(target_table& table, const std::string& service, duration occupied)
     -> void;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -18,12 +18,6 @@
 constexpr duration hold_check_period = std::chrono::milliseconds{50};
 constexpr duration maintenance_period = std::chrono::milliseconds{500};
 constexpr duration shutdown_check_period = std::chrono::milliseconds{50};
-// callers use a cached directory answer for about this long after the shutdown has begun; a later
-// request might not finish before the process is killed
-constexpr duration listening_time = std::chrono::milliseconds{2200};
-constexpr duration min_drain_time = std::chrono::milliseconds{2500};
-// the process exits this long before the platform would kill it
-constexpr duration kill_margin = std::chrono::milliseconds{300};
 // entries that vanish this soon after the store's return may have lapsed during the outage
 constexpr duration store_return_window = std::chrono::seconds{2};
 // half of the allowed time to live, since some callers cache a directory answer for three times the
@@ -36,6 +30,11 @@
             limits.idle_timeout};
 }
 
+auto whole_milliseconds(duration span) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 auto text_head(int status, std::string type) -> response_head
 {
     auto head = response_head{};
@@ -186,7 +185,7 @@
 
 auto entry_instance::ready() const -> bool
 {
-    return view_.routes && view_.up_to_date && !view_.draining;
+    return view_.routes && view_.up_to_date && !view_.stopping;
 }
 
 auto entry_instance::reads_store() const -> bool
@@ -411,13 +410,18 @@
 
 auto entry_instance::begin_shutdown() -> void
 {
-    if (std::exchange(view_.draining, true)) {
+    if (view_.stopping) {
         return;
     }
+    const auto signalled = monotonic_now();
+    view_.stopping = plan_shutdown(signalled, settings_.shutdown_grace);
+    const auto now = monotonic_now();
     log_event(log_level::info, "shutdown_begun",
               {{"running", std::to_string(forwarder_.running())},
-               {"connections", std::to_string(front_.open_connections())}});
-    shutdown_begun_ = monotonic_now();
+               {"connections", std::to_string(front_.open_connections())},
+               {"accept_ms", whole_milliseconds(view_.stopping->accept_until - now)},
+               {"end_ms", whole_milliseconds(view_.stopping->end - now)}});
+    forwarder_.limit_to_shutdown();
     peers_.leave();
     front_.begin_drain();
     ready_.begin_drain();
@@ -427,22 +431,19 @@
 
 auto entry_instance::finish_shutdown() -> void
 {
-    const auto waited = monotonic_now() - shutdown_begun_;
+    const auto now = monotonic_now();
+    const auto& plan = *view_.stopping;
     const auto idle = forwarder_.running() == 0 && front_.busy_connections() == 0;
-    if (waited > listening_time) {
-        view_.rejecting_requests = true;
+    if (now > plan.accept_until) {
         front_.stop_listening();
     }
-    const auto done =
-        (waited > min_drain_time && idle) || waited > settings_.shutdown_grace - kill_margin;
+    const auto done = (now > plan.stay_until && idle) || now > plan.end;
     if (!done) {
         return;
     }
-    log_event(
-        log_level::info, "stop",
-        {{"running", std::to_string(forwarder_.running())},
-         {"waited_ms",
-          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())}});
+    log_event(log_level::info, "stop",
+              {{"running", std::to_string(forwarder_.running())},
+               {"left_ms", whole_milliseconds(plan.end - now)}});
     shutdown_timer_.reset();
     forwarder_.end_all();
     supervisor_.stop();
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -82,6 +82,7 @@
         }
     };
     deadline_timer = call_later(time_left(), &forward_job::on_deadline);
+    limit_to_shutdown();
     if (stop_if_blocked()) {
         return;
     }
@@ -98,6 +99,14 @@
     try_next();
 }
 
+auto forward_job::limit_to_shutdown() -> void
+{
+    if (state.view.stopping && state.view.stopping->end < deadline) {
+        deadline = state.view.stopping->end;
+        deadline_timer = call_later(time_left(), &forward_job::on_deadline);
+    }
+}
+
 auto forward_job::try_next() -> void
 {
     if (stop_if_blocked()) {
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -106,6 +106,8 @@
 
     /// Starts the deadline and the first attempt.
     auto start() -> void;
+    /// Moves the deadline forward to the end of the shutdown that is under way, if any.
+    auto limit_to_shutdown() -> void;
     /// Starts an attempt at the best eligible target, or waits for one.
     auto try_next() -> void;
     auto send_to(const target_choice& choice) -> void;
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -122,6 +122,13 @@
     return state_->jobs.size() + state_->held.size();
 }
 
+auto forwarder::limit_to_shutdown() -> void
+{
+    for (const auto& job : state_->jobs) {
+        job->limit_to_shutdown();
+    }
+}
+
 auto forwarder::end_all() -> void
 {
     const auto unfinished = state_->jobs;
@@ -159,11 +166,6 @@
                        view.routes ? "not_up_to_date" : "no_configuration");
         return;
     }
-    if (view.rejecting_requests) {
-        reject_request(codec, *exchange, service_unavailable, shutdown_retry_after, request,
-                       "stopping");
-        return;
-    }
     const auto* matched_route = match_route(*view.routes, request.host, exchange->head.target);
     if (matched_route == nullptr) {
         reject_request(codec, *exchange, not_found, {}, request, "no_route");
@@ -179,13 +181,23 @@
         reject_request(codec, *exchange, unauthorized, {}, request, "unknown_key");
         return;
     }
+    const auto* service =
+        find_service(*view.routes, choose_service(*matched_route, hash64(request.id)));
+    if (view.stopping &&
+        !can_serve(*view.stopping,
+                   service != nullptr ? usual_request_time(view.targets, service->name)
+                                      : duration{},
+                   monotonic_now())) {
+        reject_request(codec, *exchange, service_unavailable, shutdown_retry_after, request,
+                       "stopping");
+        return;
+    }
     auto job = std::make_shared<detail::forward_job>(*state_);
     job->exchange = std::move(exchange);
     job->request = std::move(request);
     job->routes = view.routes;
     job->matched_route = matched_route;
-    job->service =
-        find_service(*view.routes, choose_service(*matched_route, hash64(job->request.id)));
+    job->service = service;
     job->organisation_name = caller != nullptr ? caller->name : std::string{};
     job->priority =
         caller != nullptr && caller->priority ? *caller->priority : matched_route->priority;
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -234,6 +234,14 @@
     }
 }
 
+auto usual_request_time(const target_table& table, std::string_view service) -> duration
+{
+    const auto mean = table.request_seconds.find(service);
+    return mean == table.request_seconds.end()
+               ? duration::zero()
+               : std::chrono::duration_cast<duration>(std::chrono::duration<double>{mean->second});
+}
+
 auto estimated_load(const target_table& table, const target& candidate, time_point now) -> double
 {
     auto estimate = static_cast<double>(candidate.in_flight);
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -64,6 +64,8 @@
     int next_id = 0;
     /// Setting of the instances that are added from now on.
     duration target_heartbeat = std::chrono::milliseconds{1200};
+    /// Setting of the instances that are added from now on.
+    duration shutdown_grace = std::chrono::seconds{8};
     /// Prompt of the requests for quotes.
     std::string prompt = "a1:500,b2:4000,c3:100";
 
@@ -122,6 +124,7 @@
         own.target_heartbeat = target_heartbeat;
         own.retry_budget_ratio = 0.2;
         own.retry_slack = 50;
+        own.shutdown_grace = shutdown_grace;
         instances.push_back(std::make_unique<entry_instance>(loop, platform::make_codec(), own,
                                                              [this](int) { ++stopped_instances; }));
         instances.back()->start();
