Answer requests that are held when a planned stop ends

Requests that are held while an instance reads the store for the first time were not among those that the end of a stop answers; the process ended and their connections were closed without a word, although nothing had run. Change: they get 503 with a short Retry-After like other requests that the stop can't serve. Measured: the new test failed before (no answer instead of 503) and passes now.

--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -65,7 +65,8 @@
     /// Number of requests without a final answer.
     auto running() const -> std::size_t;
 
-    /// Ends all requests: those that certainly have not run are refused, the others get an error.
+    /// Ends all requests, held ones too: those that certainly have not run are refused, the others
+    /// get an error.
     auto end_all() -> void;
 
     /// Sets the function that is called when a target has ended before it began an answer.
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -131,6 +131,11 @@
 
 auto forwarder::end_all() -> void
 {
+    for (const auto& exchange : std::exchange(state_->held, {})) {
+        const auto request = state_->codec.decode_request(exchange->head);
+        reject_request(state_->codec, *exchange, service_unavailable, shutdown_retry_after, request,
+                       "stopping");
+    }
     const auto unfinished = state_->jobs;
     for (const auto& job : unfinished) {
         job->abandon("stopping");
--- a/tests/unit-planned_stop.cpp
+++ b/tests/unit-planned_stop.cpp
@@ -2,6 +2,7 @@
 
 using namespace cyclamenpost;
 using namespace cyclamenpost::test;
+using fakes::store_mode;
 using fakes::target_mode;
 using namespace std::chrono_literals;
 
@@ -71,6 +72,26 @@
     CHECK(std::stoi(std::string{*limit}) < 3000);
 }
 
+TEST_CASE_FIXTURE(stopping_fleet,
+                  "planned_stop: a request that is held at the end of the stop is answered")
+{
+    shutdown_grace = 600ms;
+    store.set_mode(store_mode::silent);
+    add_instance();
+    wait([&] { return store.request_count() > 0; });
+    auto call = caller_call{};
+    send(call, "/book/1", 0, "key-1", "held");
+    run_for(50ms);
+    instances[0]->begin_shutdown();
+    wait([&] { return stopped_instances == 1; });
+    // the process ends at once
+    instances.clear();
+    wait([&] { return call.ended(); });
+    CHECK(call.complete);
+    CHECK(call.head.status == 503);
+    CHECK(runs_of("held") == 0);
+}
+
 TEST_CASE_FIXTURE(stopping_fleet, "planned_stop: a reload during the stop neither lengthens it nor "
                                   "brings the instance back into the directory")
 {
