Count the grace time from before a pause in which the signal may have come

The platform counts the grace time from its signal; the instance counted from the moment at which it took the signal up. One that did not run meanwhile (frozen, or starved of its processor) planned to stay longer than it may, and was killed with its last requests unanswered. Change: event_loop::events_since() names a time before which nothing has come that is handled now; a stop is planned from there. shutdown_begun logs the signal's greatest age and the times of the plan. The unit test failed to compile before (no such time was known).

--- a/include/cyclamenpost/transport/event_loop.hpp
+++ b/include/cyclamenpost/transport/event_loop.hpp
@@ -57,6 +57,10 @@
     /// Makes `run` return after the current event.
     auto stop() -> void;
 
+    /// A time before which nothing has come that is handled now: the loop looked for events later.
+    /// After a pause of the process it lies before the pause.
+    auto events_since() const -> time_point;
+
     /// Calls `action` once after `delay`, unless the returned timer is destroyed first.
     [[nodiscard]] auto call_after(duration delay, std::function<void()> action) -> timer;
 
@@ -82,6 +86,9 @@
     auto client_vhost() const -> lws_vhost*;
 
 private:
+    /// Serves the events of one iteration. Returns whether the loop may go on.
+    auto serve_once() -> bool;
+
     std::unique_ptr<detail::loop_state> state_;
 };
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -413,12 +413,14 @@
     if (view_.stopping) {
         return;
     }
-    const auto signalled = monotonic_now();
+    // the signal waits while the process does not run, and the platform counts from the signal
+    const auto signalled = loop_.events_since();
     view_.stopping = plan_shutdown(signalled, settings_.shutdown_grace);
     const auto now = monotonic_now();
     log_event(log_level::info, "shutdown_begun",
               {{"running", std::to_string(forwarder_.running())},
                {"connections", std::to_string(front_.open_connections())},
+               {"signal_age_ms", whole_milliseconds(now - signalled)},
                {"accept_ms", whole_milliseconds(view_.stopping->accept_until - now)},
                {"end_ms", whole_milliseconds(view_.stopping->end - now)}});
     forwarder_.limit_to_shutdown();
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -35,6 +35,9 @@
     bool stopping = false;
     /// Whether `run_until` has to check its condition after each event.
     bool checking_condition = false;
+    /// When the present iteration and the one before it began.
+    time_point iteration_begun = monotonic_now();
+    time_point last_iteration_begun = iteration_begun;
     std::deque<std::function<void()>> posted;
     timer post_timer;
     std::list<watched_descriptor> descriptors;
@@ -184,16 +187,27 @@
 
 auto event_loop::run() -> void
 {
-    while (!state_->stopping && lws_service(state_->context, 0) >= 0) {
+    while (!state_->stopping && serve_once()) {
     }
 }
 
+auto event_loop::serve_once() -> bool
+{
+    state_->last_iteration_begun = std::exchange(state_->iteration_begun, monotonic_now());
+    return lws_service(state_->context, 0) >= 0;
+}
+
+auto event_loop::events_since() const -> time_point
+{
+    return state_->last_iteration_begun;
+}
+
 auto event_loop::run_until(const std::function<bool()>& done, duration limit) -> bool
 {
     auto expired = false;
     const auto outer_checking = std::exchange(state_->checking_condition, true);
     const auto deadline = call_after(limit, [&] { expired = true; });
-    while (!done() && !expired && lws_service(state_->context, 0) >= 0) {
+    while (!done() && !expired && serve_once()) {
     }
     state_->checking_condition = outer_checking;
     return done();
--- a/tests/unit-planned_stop.cpp
+++ b/tests/unit-planned_stop.cpp
@@ -1,3 +1,8 @@
+#include <csignal>
+#include <thread>
+
+#include <unistd.h>
+
 #include "entry_fixture.hpp"
 
 using namespace cyclamenpost;
@@ -145,3 +150,28 @@
     CHECK_FALSE(can_serve(plan, 10s, signal_time));
     CHECK_FALSE(can_serve(plan, 0s, plan.accept_until));
 }
+
+// Guards against a grace time that is counted from the moment at which a process that was paused
+// takes up the signal.
+TEST_CASE(
+    "planned_stop: a signal that waited while the process did not run is not taken for a new one")
+{
+    auto before = sigset_t{};
+    sigprocmask(SIG_BLOCK, nullptr, &before);
+    {
+        auto loop = event_loop{};
+        auto since = std::optional<time_point>{};
+        auto sent = time_point{};
+        REQUIRE(
+            try_or([&] { return loop.watch_signals([&](int) { since = loop.events_since(); }); },
+                   [](const error& failure) { FAIL(describe(failure)); }));
+        const auto pause = loop.call_after(1ms, [&] {
+            sent = monotonic_now();
+            kill(getpid(), SIGHUP);
+            std::this_thread::sleep_for(100ms);
+        });
+        REQUIRE(loop.run_until([&] { return since.has_value(); }, 10s));
+        CHECK(*since <= sent);
+    }
+    sigprocmask(SIG_SETMASK, &before, nullptr);
+}
