Close descriptors that the event loop cannot take

Beyond the loop's limit libwebsockets refuses to adopt a descriptor but leaves it open; accepted connections were never read, answered or closed, and outgoing ones leaked. Change: what can't be adopted is closed at once, so a caller can go elsewhere.

--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -106,12 +106,18 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+/// Hands a descriptor to the loop, which closes it from then on. One that the loop cannot take is
+/// closed at once.
 auto adopt(event_loop& loop, int descriptor, const char* protocol) -> lws*
 {
     auto file = lws_sock_file_fd_type{};
     file.filefd = descriptor;
-    return lws_adopt_descriptor_vhost(loop.client_vhost(), LWS_ADOPT_RAW_FILE_DESC, file, protocol,
-                                      nullptr);
+    auto* wsi = lws_adopt_descriptor_vhost(loop.client_vhost(), LWS_ADOPT_RAW_FILE_DESC, file,
+                                           protocol, nullptr);
+    if (wsi == nullptr) {
+        ::close(descriptor);
+    }
+    return wsi;
 }
 
 auto reason_of(int code) -> close_reason
--- a/tests/unit-tcp.cpp
+++ b/tests/unit-tcp.cpp
@@ -1,3 +1,7 @@
+#include <filesystem>
+#include <iterator>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "cyclamenpost/transport/tcp.hpp"
@@ -112,6 +116,70 @@
     CHECK(ends.at_server == "last words");
 }
 
+// Guards against descriptors that stay open after the loop could not take them.
+TEST_CASE("tcp: connections beyond the loop's limit are closed, and none is leaked")
+{
+    const auto open_descriptors = [] {
+        const auto entries = std::filesystem::directory_iterator{"/proc/self/fd"};
+        return std::distance(begin(entries), end(entries));
+    };
+    const auto before = open_descriptors();
+    {
+        auto callers_loop = event_loop{};
+        constexpr auto limit_of_loop = 10U;
+        auto loop = event_loop{limit_of_loop};
+        auto accepted = std::vector<tcp_connection>{};
+        auto listener = tcp_listener{};
+        REQUIRE(try_or(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(
+                    listener,
+                    tcp_listener::open(loop, "127.0.0.1:0", [&](tcp_connection taken, const auto&) {
+                        accepted.push_back(std::move(taken));
+                    }));
+                return {};
+            },
+            [](const error& failure) { FAIL(describe(failure)); }));
+        const auto address = "127.0.0.1:" + std::to_string(listener.port());
+        constexpr auto callers = 30;
+        auto connections = std::vector<tcp_connection>{};
+        auto closed = 0;
+        for (auto index = 0; index < callers; ++index) {
+            REQUIRE(try_or(
+                [&]() -> result<void> {
+                    BOOST_LEAF_AUTO(connection, connect_tcp(callers_loop, address));
+                    connection.set_handlers({{}, {}, {}, [&](close_reason) { ++closed; }});
+                    connections.push_back(std::move(connection));
+                    return {};
+                },
+                [](const error& failure) { FAIL(describe(failure)); }));
+        }
+        const auto settled = [&] { return closed + static_cast<int>(accepted.size()) == callers; };
+        for (auto round = 0; round < 200 && !settled(); ++round) {
+            callers_loop.run_until([] { return false; }, std::chrono::milliseconds{10});
+            loop.run_until([] { return false; }, std::chrono::milliseconds{10});
+        }
+        CHECK(settled());
+        CHECK(closed > 0);
+        // outgoing connections of the full loop
+        const auto unopened = open_descriptors();
+        auto refused = 0;
+        auto opened = std::vector<tcp_connection>{};
+        for (auto index = 0; index < callers; ++index) {
+            try_or(
+                [&]() -> result<void> {
+                    BOOST_LEAF_AUTO(connection, connect_tcp(loop, address));
+                    opened.push_back(std::move(connection));
+                    return {};
+                },
+                [&](const error&) { ++refused; });
+        }
+        CHECK(refused > 0);
+        CHECK(open_descriptors() - unopened == static_cast<std::ptrdiff_t>(opened.size()));
+    }
+    CHECK(open_descriptors() == before);
+}
+
 TEST_CASE("tcp: a connection closed in its own handler is closed for the peer")
 {
     auto ends = connection_pair{};
