Let a changed header limit hold for connections that are open

Change: set_limits reaches the parsers of open connections. Measured: the new test failed before (the request never arrived) and passes now.

--- a/include/cyclamenpost/transport/http1.hpp
+++ b/include/cyclamenpost/transport/http1.hpp
@@ -99,6 +99,9 @@
     /// request.
     auto expect_no_body(bool expected) -> void;
 
+    /// Replaces the limit for the heads of the messages to come, and of the present one.
+    auto set_max_header_bytes(std::size_t limit) -> void;
+
     /// Head of the message being parsed, for the parser's kind of message.
     auto request() -> request_head&;
     auto response() -> response_head&;
--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -110,7 +110,7 @@
     /// The port it listens on.
     auto port() const -> int;
 
-    /// Replaces the limits. The header size limit applies to new connections only.
+    /// Replaces the limits, for open connections too.
     auto set_limits(server_limits limits) -> void;
 
     /// Closes each connection after its next response, which carries "Connection: close", unless
--- a/src/transport/http1.cpp
+++ b/src/transport/http1.cpp
@@ -379,6 +379,11 @@
     state_->no_body = expected;
 }
 
+auto http1_parser::set_max_header_bytes(std::size_t limit) -> void
+{
+    state_->max_header_bytes = limit;
+}
+
 auto http1_parser::request() -> request_head&
 {
     return state_->request;
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -474,6 +474,9 @@
 auto http1_server::set_limits(server_limits limits) -> void
 {
     state_->limits = limits;
+    for (const auto& connection : state_->connections) {
+        connection->parser->set_max_header_bytes(limits.max_header_bytes);
+    }
 }
 
 auto http1_server::begin_drain() -> void
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -136,6 +136,19 @@
     CHECK(received.empty());
 }
 
+TEST_CASE_FIXTURE(server_test,
+                  "http1_server: a header limit that is raised holds for kept connections")
+{
+    send_and_wait(simple_request, 1);
+    requests.front()->respond({200, {}, true, false}, {});
+    wait_for("HTTP/1.1 200");
+    auto raised = server_limits{};
+    raised.max_header_bytes = 40'000;
+    server.set_limits(raised);
+    send_and_wait("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", 2);
+    CHECK(requests.size() == 2);
+}
+
 TEST_CASE_FIXTURE(server_test, "http1_server: each violated limit has its own status")
 {
     SUBCASE("malformed")
