Read the store at its new address after a reload

Change: the reader goes on at the new address from the revision it has reached, and logs store_moved. Measured: the new test failed before (no version from the new address within 20 s) and passes now.

--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -43,6 +43,9 @@
     /// Stops reading.
     auto stop() -> void;
 
+    /// Reads the store at another address from now on, from the revision that was reached.
+    auto set_address(const std::string& address) -> void;
+
     /// Resumes reading, or leaves it to other instances of the zone. The first listing always
     /// completes. `last_notice` is the time at which an instance that reads the store last said so.
     auto set_duty(store_duty duty, time_point last_notice) -> void;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -181,6 +181,7 @@
     settings_ = std::move(settings);
     apply_settings();
     peers_.apply_seeds();
+    store_.set_address(settings_.store_address);
 }
 
 auto entry_instance::ready() const -> bool
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -44,6 +44,32 @@
     next_call_timer_.reset();
 }
 
+auto store_reader::set_address(const std::string& address) -> void
+{
+    if (address == settings_.address) {
+        return;
+    }
+    log_event(log_level::info, "store_moved",
+              {{"from", settings_.address},
+               {"to", address},
+               {"revision", std::to_string(state_.revision)}});
+    settings_.address = address;
+    const auto reading = !stopped_ && (duty_ != store_duty::none || !listed_);
+    if (!reading) {
+        return;
+    }
+    exchange_.cancel();
+    timeout_timer_.reset();
+    next_call_timer_.reset();
+    if (listed_) {
+        watch();
+    }
+    else {
+        page_after_.clear();
+        list_page();
+    }
+}
+
 auto store_reader::set_duty(store_duty duty, time_point last_notice) -> void
 {
     outage_.last_served = std::max(outage_.last_served, last_notice);
--- a/tests/unit-entry_instance.cpp
+++ b/tests/unit-entry_instance.cpp
@@ -296,6 +296,25 @@
     wait([&] { return addresses(1) == 2 && addresses(0) == 2; });
 }
 
+TEST_CASE_FIXTURE(
+    small_fleet,
+    "entry_instance: after a reload with another address of the store it is read there")
+{
+    start(1);
+    auto moved = fakes::fake_store{loop};
+    check([&] { return moved.listen("127.0.0.1:0"); });
+    while (moved.revision() < store.revision()) {
+        moved.put("other", "x");
+    }
+    auto changed = settings.front();
+    changed.store_address = moved.address();
+    store.set_mode(store_mode::silent);
+    instances[0]->reload(changed);
+    publish_to(moved, 7);
+    wait([&] { return version(0) == 7; });
+    CHECK(ask("/book/1").head.status == 200);
+}
+
 TEST_CASE_FIXTURE(small_fleet,
                   "entry_instance: requests that arrive during the first listing are served")
 {
