--- a/tests/unit-planned_stop.cpp
+++ b/tests/unit-planned_stop.cpp
@@ -55,7 +55,9 @@
     }
     CHECK(stopped_instances == 1);
     auto served = 0;
-    for (auto& [id, call] : calls) {
+    for (auto& entry : calls) {
+        const auto& id = entry.first;
+        const auto& call = entry.second;
         wait([&] { return call.ended(); });
         CAPTURE(id);
         CAPTURE(call.head.status);
