Decode numbers of the platform within the bounds of their types

A number that its type cannot hold was converted anyway: undefined for fractions, and a revision or version of -1 became the newest of all, after which no change would be seen.

--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <doctest/doctest.h>
 
 #include "platform_requests.hpp"
@@ -295,3 +297,33 @@
     // a list that cannot be read leaves the configuration before in force
     CHECK_FALSE(platform::decode_configuration(with(R"(,"tenants":"all")")));
 }
+
+// Guards against a revision that is newer than all that follow, after which no change is seen.
+TEST_CASE("platform_adapter: an answer whose revision is no whole number is not used")
+{
+    for (const auto* revision : {"-1", "1e300", "18446744073709551616", "7.5", "\"7\"", "null"}) {
+        const auto text = std::string{revision};
+        CAPTURE(text);
+        CHECK_FALSE(decode_listing(R"({"items":[],"current_rev":)" + text + "}"));
+        CHECK_FALSE(decode_changes(R"({"events":[],"current_rev":)" + text + "}"));
+        CHECK_FALSE(decode_configuration(R"({"routes":[],"services":[],"version":)" + text + "}"));
+    }
+    CHECK(decode_listing(R"({"items":[],"current_rev":7})")->revision == 7);
+}
+
+TEST_CASE("platform_adapter: numbers beyond their type are taken for the nearest that it holds")
+{
+    const auto table = decode_configuration(
+        R"({"version":1,"services":[{"name":"app","cold_start_s":1e300,"max_connections":-4}],)"
+        R"("routes":[{"name":"r","route_type":"idempotent","hostname":"h","prefix":"/",)"
+        R"("backend":"app","timeout_ms":1e300,"max_attempts":1e300,"priority":-1e300}],)"
+        R"("limits":{"max_body_bytes":1e300}})");
+    REQUIRE(table);
+    const auto& rule = table->routes.front();
+    CHECK(rule.timeout == std::chrono::hours{24});
+    CHECK(rule.max_attempts == std::numeric_limits<std::uint32_t>::max());
+    CHECK(rule.priority == std::numeric_limits<int>::min());
+    CHECK(table->services.front().max_connections == 0);
+    CHECK(table->services.front().cold_time == std::chrono::hours{24});
+    CHECK(table->limits.max_body_bytes == std::numeric_limits<std::size_t>::max());
+}
