Name the build and the proof of each refusal in logs and metrics

Every landing logged version 0.1.0, so nobody could say which one a report was about; a record without logs did not tell a refusal that rests on what was not sent from one that rests on a target's word.

A target's 421 that is passed on counts as not_run, as callers read it; it was logged as answered. No decision changes.

Tests: 'forwarder: refusals are counted by what proves them', 'request_steps: a refusal names what proves it'. unit_tests: all pass.

--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "cyclamenpost/core/build_info.hpp"
 #include "cyclamenpost/core/file_watch.hpp"
 #include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/entry/entry_instance.hpp"
@@ -78,6 +79,7 @@
               {{"instance", settings.name},
                {"zone", settings.zone},
                {"version", CYCLAMENPOST_VERSION},
+               {"build", std::string{build_digest()}},
                {"front", settings.front_address},
                {"peer", settings.peer_address},
                {"metrics", settings.metrics_address},
--- a/daemons/cyclamenpostd.cpp
+++ b/daemons/cyclamenpostd.cpp
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "cyclamenpost/core/build_info.hpp"
 #include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/relay/router.hpp"
 
@@ -38,6 +39,7 @@
               {{"instance", startup_settings.instance},
                {"zone", startup_settings.zone},
                {"version", CYCLAMENPOST_VERSION},
+               {"build", std::string{build_digest()}},
                {"listen", startup_settings.listen_address + ":" +
                               std::to_string(startup_settings.listen_port)}});
     constexpr auto log_flush_period = std::chrono::milliseconds{100};
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -79,6 +79,9 @@
 private:
     friend struct detail::forward_job;
     struct state;
+    /// Answers a request that is not handed to any target.
+    auto reject(server_exchange& exchange, int status, duration retry_after,
+                const request_metadata& request, std::string_view cause) -> void;
     std::unique_ptr<state> state_;
 };
 
--- a/include/cyclamenpost/routing/request_steps.hpp
+++ b/include/cyclamenpost/routing/request_steps.hpp
@@ -137,6 +137,31 @@
 /// Whether the request may leave its target, which still has it, for another one.
 auto can_move(const request_progress& progress, const request_event& event) -> bool;
 
+/// Why it is true that a refused request has not run.
+enum class refusal_proof {
+    /// It was never handed to a target.
+    no_attempt,
+    /// No byte of any attempt was sent.
+    unsent,
+    /// Each target that received it said that it had not executed it.
+    disclaimed,
+    /// Some attempts were not sent, the targets of the others said that they had not executed it.
+    unsent_and_disclaimed,
+    /// Nothing proves it: the request may have run.
+    none,
+};
+
+inline constexpr std::array refusal_proof_names{
+    enum_name<refusal_proof>{refusal_proof::no_attempt, "no_attempt"},
+    enum_name<refusal_proof>{refusal_proof::unsent, "unsent"},
+    enum_name<refusal_proof>{refusal_proof::disclaimed, "disclaimed"},
+    enum_name<refusal_proof>{refusal_proof::unsent_and_disclaimed, "unsent_and_disclaimed"},
+    enum_name<refusal_proof>{refusal_proof::none, "none"},
+};
+
+/// What a refusal of the request would rest on.
+auto proof_of_refusal(const request_progress& progress) -> refusal_proof;
+
 /// A complete answer of a target, as far as it decides what the answer is worth.
 struct complete_answer {
     int status = 0;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cyclamenpost/core/build_info.hpp"
 #include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/routing/fleet_size.hpp"
 
@@ -381,6 +382,10 @@
         static_cast<double>(forwarder_.running()));
     set("cyclamenpost_caller_connections", "Open connections of callers.",
         static_cast<double>(front_.open_connections()));
+    metrics_
+        .gauge_of("cyclamenpost_build_info", "Version and source digest of the program; always 1.",
+                  {{"version", CYCLAMENPOST_VERSION}, {"build", std::string{build_digest()}}})
+        .set(1);
     exchange->respond(text_head(ok, "text/plain; version=0.0.4"), metrics_.prometheus_text());
 }
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -178,7 +178,8 @@
             .add();
     }
     auto outgoing = outgoing_request{};
-    outgoing.address = chosen.published.address;
+    target_address = chosen.published.address;
+    outgoing.address = target_address;
     outgoing.head = state.codec.encode_request(exchange->head, metadata);
     outgoing.body = exchange->body;
     answer = {};
@@ -576,6 +577,7 @@
     log_event(end == attempt_end::answered ? log_level::debug : log_level::info, "attempt_ended",
               {{"request", request.id},
                {"target", target_id},
+               {"address", target_address},
                {"end", std::string(name_in(attempt_end_names, end))},
                {"cause", std::string{cause}},
                {"status", std::to_string(answer_head.status)},
@@ -609,7 +611,7 @@
         try_next();
         return;
     case request_action::pass_answer:
-        pass_answer();
+        pass_answer(*step.attempt_ended);
         return;
     case request_action::end_stream:
         exchange->finish();
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -47,6 +47,9 @@
 /// The whole milliseconds of a time span, for log lines.
 auto milliseconds_text(duration span) -> std::string;
 
+/// Counts a request that its caller was told has not run.
+auto count_refusal(metric_registry& metrics, std::string_view kind, std::string_view proof) -> void;
+
 /// One request, from its arrival to the end of its answer, with all attempts at targets.
 struct forward_job : std::enable_shared_from_this<forward_job> {
     forwarder::state& state;
@@ -72,6 +75,8 @@
     // the current attempt
     client_exchange attempt;
     std::string target_id;
+    /// Address of the target at the attempt's begin, "ip:port".
+    std::string target_address;
     time_point attempt_begun{};
     answer_metadata answer;
     response_head answer_head;
@@ -148,14 +153,16 @@
     auto record_attempt(const request_step& step, std::string_view cause) -> void;
     /// Records the end of the attempt in the target table, once.
     auto release_target(target_outcome health) -> void;
-    /// Sends the buffered answer of the target to the caller.
-    auto pass_answer() -> void;
+    /// Sends the buffered answer of the target, which ended its attempt as `end`, to the caller.
+    auto pass_answer(attempt_end end) -> void;
     /// Sends the complete events of a stream to the caller.
     auto pass_events(std::string_view bytes) -> void;
     /// Answers that the outcome is unknown, or aborts an answer that has begun.
     auto give_up(int status, std::string_view cause) -> void;
     /// Sends an answer of the instance's own; finishes the job.
     auto send_local_reply(int status, duration retry_after, std::string_view cause) -> void;
+    /// Name of what a refusal of this request rests on.
+    auto refusal_proof_name() const -> std::string_view;
     auto record_metrics(std::string_view outcome_name, std::string_view cause) -> void;
     auto log_outcome(int status, std::string_view outcome_name, std::string_view cause) -> void;
     /// Records the outcome and ends the job.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -4,18 +4,40 @@
 
 namespace cyclamenpost::detail {
 
+namespace {
+
+/// Outcome of a request that the caller may take for not executed.
+constexpr std::string_view not_run = "not_run";
+
+} // namespace
+
 auto milliseconds_text(duration span) -> std::string
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
 
-auto forward_job::pass_answer() -> void
+auto count_refusal(metric_registry& metrics, std::string_view kind, std::string_view proof) -> void
+{
+    metrics
+        .counter_of("cyclamenpost_refusals_total",
+                    "Requests that callers were told have not run, by kind and proof.",
+                    {{"kind", std::string{kind}}, {"proof", std::string{proof}}})
+        .add();
+}
+
+auto forward_job::refusal_proof_name() const -> std::string_view
+{
+    return name_in(refusal_proof_names, proof_of_refusal(progress));
+}
+
+auto forward_job::pass_answer(attempt_end end) -> void
 {
     auto head = answer_head;
     drop_hop_by_hop_fields(head.fields);
     head.keep_alive = true;
     exchange->respond(std::move(head), answer_body);
-    finish(answer_head.status, answer.not_executed ? "not_run" : "answered", "target_answer");
+    finish(answer_head.status, end == attempt_end::not_executed ? not_run : "answered",
+           "target_answer");
 }
 
 auto forward_job::give_up(int status, std::string_view cause) -> void
@@ -31,7 +53,7 @@
 auto forward_job::send_local_reply(int status, duration retry_after, std::string_view cause) -> void
 {
     exchange->respond(state.codec.encode_local_reply(status, retry_after), {});
-    finish(status, status == service_unavailable ? "not_run" : "unknown", cause);
+    finish(status, status == service_unavailable ? not_run : "unknown", cause);
 }
 
 auto forward_job::on_deadline() -> void
@@ -68,6 +90,7 @@
                {"runs", std::to_string(progress.runs)},
                {"unsent", std::to_string(progress.unsent)},
                {"not_executed", std::to_string(progress.disclaimed)},
+               {"proof", outcome_name == not_run ? std::string{refusal_proof_name()} : ""},
                {"events", std::to_string(events.passed)},
                {"first_ms", milliseconds_text(first)},
                {"took_ms", milliseconds_text(now - arrived)},
@@ -95,6 +118,9 @@
                           "Time from a request's first byte to the answer's.", {{"kind", kind}})
             .observe(seconds(first_byte_at));
     }
+    if (outcome_name == not_run) {
+        count_refusal(state.metrics, kind, refusal_proof_name());
+    }
     if (outcome_name != "answered") {
         state.metrics
             .counter_of("cyclamenpost_unserved_total", "Requests not served, by cause.",
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -27,19 +27,6 @@
 constexpr std::size_t max_prompt_keys = 16;
 constexpr std::size_t min_memory_bytes = std::size_t{32} << 20U;
 
-auto reject_request(const platform_codec& codec, server_exchange& exchange, int status,
-                    duration retry_after, const request_metadata& request, std::string_view cause)
-    -> void
-{
-    log_event(log_level::info, "request_refused",
-              {{"request", request.id},
-               {"status", std::to_string(status)},
-               {"cause", std::string{cause}},
-               {"host", request.host},
-               {"target", exchange.head.target}});
-    exchange.respond(codec.encode_local_reply(status, retry_after), {});
-}
-
 /// Index of the last part of the prompt that other requests may share; only the final part is the
 /// request's own.
 auto shared_part_index(const request_metadata& request) -> std::optional<std::size_t>
@@ -107,6 +94,22 @@
     }
 }
 
+auto forwarder::reject(server_exchange& exchange, int status, duration retry_after,
+                       const request_metadata& request, std::string_view cause) -> void
+{
+    log_event(log_level::info, "request_refused",
+              {{"request", request.id},
+               {"status", std::to_string(status)},
+               {"cause", std::string{cause}},
+               {"host", request.host},
+               {"target", exchange.head.target}});
+    if (status == service_unavailable) {
+        detail::count_refusal(state_->metrics, "unrouted",
+                              name_in(refusal_proof_names, refusal_proof::no_attempt));
+    }
+    exchange.respond(state_->codec.encode_local_reply(status, retry_after), {});
+}
+
 auto forwarder::release_held() -> void
 {
     for (auto& exchange : std::exchange(state_->held, {})) {
@@ -133,8 +136,7 @@
 {
     for (const auto& exchange : std::exchange(state_->held, {})) {
         const auto request = state_->codec.decode_request(exchange->head);
-        reject_request(state_->codec, *exchange, service_unavailable, shutdown_retry_after, request,
-                       "stopping");
+        reject(*exchange, service_unavailable, shutdown_retry_after, request, "stopping");
     }
     const auto unfinished = state_->jobs;
     for (const auto& job : unfinished) {
@@ -167,23 +169,23 @@
         return;
     }
     if (!view.routes || !view.up_to_date) {
-        reject_request(codec, *exchange, service_unavailable, startup_retry_after, request,
-                       view.routes ? "not_up_to_date" : "no_configuration");
+        reject(*exchange, service_unavailable, startup_retry_after, request,
+               view.routes ? "not_up_to_date" : "no_configuration");
         return;
     }
     const auto* matched_route = match_route(*view.routes, request.host, exchange->head.target);
     if (matched_route == nullptr) {
-        reject_request(codec, *exchange, not_found, {}, request, "no_route");
+        reject(*exchange, not_found, {}, request, "no_route");
         return;
     }
     if (request.id.empty()) {
-        reject_request(codec, *exchange, bad_request, {}, request, "no_request_id");
+        reject(*exchange, bad_request, {}, request, "no_request_id");
         return;
     }
     const auto requires_key = view.routes->requires_keys && !matched_route->allow_anonymous;
     const auto* caller = requires_key ? find_organisation(*view.routes, request.api_key) : nullptr;
     if (requires_key && caller == nullptr) {
-        reject_request(codec, *exchange, unauthorized, {}, request, "unknown_key");
+        reject(*exchange, unauthorized, {}, request, "unknown_key");
         return;
     }
     const auto* service =
@@ -193,8 +195,7 @@
                    service != nullptr ? usual_request_time(view.targets, service->name)
                                       : duration{},
                    monotonic_now())) {
-        reject_request(codec, *exchange, service_unavailable, shutdown_retry_after, request,
-                       "stopping");
+        reject(*exchange, service_unavailable, shutdown_retry_after, request, "stopping");
         return;
     }
     auto job = std::make_shared<detail::forward_job>(*state_);
--- a/src/routing/request_steps.cpp
+++ b/src/routing/request_steps.cpp
@@ -126,6 +126,20 @@
            event.retry_allowed && event.target_available;
 }
 
+auto proof_of_refusal(const request_progress& progress) -> refusal_proof
+{
+    if (progress.runs > 0) {
+        return refusal_proof::none;
+    }
+    if (progress.unsent > 0 && progress.disclaimed > 0) {
+        return refusal_proof::unsent_and_disclaimed;
+    }
+    if (progress.disclaimed > 0) {
+        return refusal_proof::disclaimed;
+    }
+    return progress.attempts > 0 ? refusal_proof::unsent : refusal_proof::no_attempt;
+}
+
 auto judge_answer(const complete_answer& answer) -> answer_verdict
 {
     if (answer.stream) {
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -117,6 +117,7 @@
         own.front_address = free_address(loop);
         own.readiness_address = free_address(loop);
         own.directory_address = free_address(loop);
+        own.metrics_address = free_address(loop);
         own.peer_address = peer_address.empty() ? free_address(loop) : peer_address;
         own.store_address = store_address.empty() ? store.address() : store_address;
         own.seeds = {settings.front().peer_address};
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -1,3 +1,4 @@
+#include "cyclamenpost/core/build_info.hpp"
 #include "entry_fixture.hpp"
 
 using namespace cyclamenpost;
@@ -102,6 +103,24 @@
     CHECK(runs_of("b1") == 0);
 }
 
+TEST_CASE_FIXTURE(one_instance, "forwarder: refusals are counted by what proves them")
+{
+    const auto refusals = [&](const std::string& kind, const std::string& proof) {
+        const auto text = send_get(settings[0].metrics_address, "/metrics").body;
+        CHECK(text.find("build=\"" + std::string{build_digest()} + "\"") != std::string::npos);
+        return text.find("cyclamenpost_refusals_total{kind=\"" + kind + "\",proof=\"" + proof +
+                         "\"} 1\n") != std::string::npos;
+    };
+    set_apps(target_mode::full);
+    CHECK(ask("/book/1").head.status == 503);
+    CHECK(refusals("non_idempotent", "disclaimed"));
+    app_1.crash();
+    app_2.crash();
+    CHECK(ask("/book/2").head.status == 503);
+    CHECK(refusals("non_idempotent", "unsent"));
+    CHECK_FALSE(refusals("unrouted", "no_attempt"));
+}
+
 TEST_CASE_FIXTURE(
     one_instance,
     "forwarder: an idempotent request whose answer is lost is retried at another target")
--- a/tests/unit-request_steps.cpp
+++ b/tests/unit-request_steps.cpp
@@ -374,3 +374,19 @@
     answer.stream = stream_end::within_event;
     CHECK(judge_answer(answer).end == attempt_end::lost);
 }
+
+TEST_CASE("request_steps: a refusal names what proves it")
+{
+    auto progress = request_progress{};
+    CHECK(proof_of_refusal(progress) == refusal_proof::no_attempt);
+    progress.attempts = 2;
+    progress.unsent = 2;
+    CHECK(proof_of_refusal(progress) == refusal_proof::unsent);
+    progress.unsent = 1;
+    progress.disclaimed = 1;
+    CHECK(proof_of_refusal(progress) == refusal_proof::unsent_and_disclaimed);
+    progress.unsent = 0;
+    CHECK(proof_of_refusal(progress) == refusal_proof::disclaimed);
+    progress.runs = 1;
+    CHECK(proof_of_refusal(progress) == refusal_proof::none);
+}
