Soak targets in processes of their own, and show a refusal that is read from an earlier attempt's copy

It pauses and ends targets, one by one and most of a service at once; they come back at their address, two of three times under another id, while the old entry lapses 3 s later. Instances are paused a twentieth at a time, stopped and killed; the configuration changes. Each run is recorded in a file as it begins, so a run after the refusal counts too; 421 counts as a refusal.

Two targets had the address in turn; the second attempt went over the connection of the first and took the copy of its 421 for the answer. The unit test brings the order about by will: 421 instead of 200, and 503 if the target was full.

--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -4,9 +4,7 @@
 #include <csignal>
 #include <fstream>
 
-#include <fcntl.h>
 #include <nlohmann/json.hpp>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,33 +16,6 @@
 
 constexpr duration pause_duration = std::chrono::milliseconds{1500};
 
-// instances keep their addresses over restarts, so their ports lie below the ephemeral range, from
-// which the kernel could assign them to outgoing connections in between
-constexpr auto first_port = 20000;
-constexpr auto port_range = 12000;
-
-/// The next loopback address that is free. The search starts at a port that depends on the process
-/// id, so that parallel soaks rarely probe the same ports.
-auto free_address(event_loop& loop) -> result<std::string>
-{
-    static auto next = static_cast<int>(getpid()) * 37 % port_range;
-    for (auto tries = 0; tries < port_range; ++tries) {
-        next = (next + 1) % port_range;
-        auto address = "127.0.0.1:" + std::to_string(first_port + next);
-        auto listener = tcp_listener{};
-        const auto opened = try_or(
-            [&]() -> result<void> {
-                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, address, {}));
-                return {};
-            },
-            [](const error&) {});
-        if (opened) {
-            return address;
-        }
-    }
-    return fail(error_id::listen_failed, step::listen, "127.0.0.1", "no port is free");
-}
-
 } // namespace
 
 soak_fleet::soak_fleet(event_loop& loop, soak_options options)
@@ -56,6 +27,7 @@
 
 soak_fleet::~soak_fleet()
 {
+    processes_.reset();
     for (const auto& instance : instances_) {
         if (instance.pid > 0) {
             kill(instance.pid, SIGKILL);
@@ -70,8 +42,19 @@
 {
     BOOST_LEAF_CHECK(store_.listen("127.0.0.1:0"));
     publish_configuration();
+    if (options_.faults == soak_faults::processes) {
+        processes_ =
+            std::make_unique<target_processes>(loop_, store_, directory_, options_.seed * 1000);
+    }
     for (auto index = 0; index < options_.targets; ++index) {
         const auto zone = index % 2 == 0 ? "a" : "b";
+        if (processes_) {
+            if (index < options_.applications) {
+                BOOST_LEAF_CHECK(processes_->add("app", zone));
+            }
+            BOOST_LEAF_CHECK(processes_->add("engine", zone));
+            continue;
+        }
         BOOST_LEAF_CHECK(add_target("app", zone));
         BOOST_LEAF_CHECK(add_target("engine", zone));
     }
@@ -109,22 +92,9 @@
 
 auto soak_fleet::spawn(soak_instance& instance) -> void
 {
-    auto arguments = std::array<std::string, 5>{options_.program, "--settings-file",
-                                                instance.settings_file, "--metrics-port", "0"};
-    auto pointers = std::array<char*, 6>{};
-    for (std::size_t index = 0; index < arguments.size(); ++index) {
-        pointers[index] = arguments[index].data();
-    }
-    auto actions = posix_spawn_file_actions_t{};
-    posix_spawn_file_actions_init(&actions);
-    const auto log = "soak-" + instance.name + ".log";
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    if (posix_spawn(&instance.pid, options_.program.c_str(), &actions, nullptr, pointers.data(),
-                    environ) != 0) {
-        instance.pid = -1;
-    }
-    posix_spawn_file_actions_destroy(&actions);
+    instance.pid = spawn_program(
+        {options_.program, "--settings-file", instance.settings_file, "--metrics-port", "0"},
+        "soak-" + instance.name + ".log");
     instance.paused = false;
     instance.stopping = false;
 }
@@ -195,6 +165,9 @@
     if (options_.faults == soak_faults::lost_answers) {
         return lose_answers(random);
     }
+    if (options_.faults == soak_faults::processes) {
+        return harm_processes(random);
+    }
     switch (random() % 4) {
     case 0:
         return inject_process_fault(random);
@@ -258,6 +231,31 @@
     return "target " + target.fake->id() + " " + std::string{name_in(target_mode_names, mode)};
 }
 
+auto soak_fleet::harm_processes(std::mt19937_64& random) -> std::string
+{
+    constexpr auto instances_paused_at_once = 20U;
+    constexpr auto faults_per_end = 4U;
+    constexpr auto faults_per_change = 16U;
+    if (random() % 2 == 0) {
+        return processes_->inject_fault(random);
+    }
+    if (random() % faults_per_change == 0) {
+        publish_configuration();
+        return "configuration " + std::to_string(version_);
+    }
+    if (random() % faults_per_end == 0) {
+        return inject_process_fault(random);
+    }
+    auto paused = std::string{};
+    for (std::size_t count = 0; count <= instances_.size() / instances_paused_at_once; ++count) {
+        auto& instance = instances_[random() % instances_.size()];
+        if (instance.pid > 0 && !instance.paused) {
+            paused += pause(instance, pause_duration * (1 + random() % 4) / 4) + " ";
+        }
+    }
+    return paused;
+}
+
 auto soak_fleet::inject_target_fault(std::mt19937_64& random) -> std::string
 {
     auto& target = targets_[random() % targets_.size()];
@@ -316,6 +314,9 @@
 
 auto soak_fleet::clear_faults() -> void
 {
+    if (processes_) {
+        processes_->clear_faults();
+    }
     store_.set_mode(store_mode::normal);
     for (auto& instance : instances_) {
         instance.store_proxy->set_mode(link_mode::pass);
@@ -330,6 +331,9 @@
 
 auto soak_fleet::restart_ended_processes() -> void
 {
+    if (processes_) {
+        processes_->restart_ended();
+    }
     for (auto& instance : instances_) {
         if (instance.pid <= 0 || waitpid(instance.pid, nullptr, WNOHANG) != 0) {
             unexpected_exits_ += instance.pid > 0 && !instance.stopping ? 1 : 0;
@@ -349,6 +353,11 @@
     return total;
 }
 
+auto soak_fleet::run_counts_of_processes() const -> std::map<std::string, int>
+{
+    return processes_ ? processes_->run_counts() : std::map<std::string, int>{};
+}
+
 auto soak_fleet::instances() const -> const std::vector<soak_instance>&
 {
     return instances_;
--- a/fakes/lib/soak_fleet.hpp
+++ b/fakes/lib/soak_fleet.hpp
@@ -13,6 +13,7 @@
 #include "fake_store.hpp"
 #include "fake_target.hpp"
 #include "fault_proxy.hpp"
+#include "target_processes.hpp"
 
 namespace cyclamenpost::fakes {
 
@@ -21,11 +22,15 @@
     all,
     /// Targets that lose answers or refuse, and instances that are paused.
     lost_answers,
+    /// Targets in processes of their own, which are paused and end one by one or together, while
+    /// instances are paused, stopped and killed.
+    processes,
 };
 
 inline constexpr std::array soak_faults_names{
     enum_name<soak_faults>{soak_faults::all, "all"},
     enum_name<soak_faults>{soak_faults::lost_answers, "lost_answers"},
+    enum_name<soak_faults>{soak_faults::processes, "processes"},
 };
 
 /// Options of a soak test.
@@ -38,6 +43,8 @@
     int instances = 4;
     /// Targets of each service.
     int targets = 3;
+    /// Targets of the service `app`, if the targets are processes.
+    int applications = 3;
     int callers = 12;
     soak_faults faults = soak_faults::all;
 };
@@ -91,6 +98,9 @@
     /// Number of runs of a request at all targets, including those that have crashed since.
     auto run_count(const std::string& id) const -> int;
 
+    /// How often each request ran at targets in processes of their own.
+    auto run_counts_of_processes() const -> std::map<std::string, int>;
+
     /// The API key that the present configuration accepts besides "always".
     auto api_key() const -> std::string;
 
@@ -111,6 +121,7 @@
     auto inject_link_fault(std::mt19937_64& random) -> std::string;
     auto inject_store_fault(std::mt19937_64& random) -> std::string;
     auto lose_answers(std::mt19937_64& random) -> std::string;
+    auto harm_processes(std::mt19937_64& random) -> std::string;
     auto pause(soak_instance& instance, duration span) -> std::string;
 
     event_loop& loop_;
@@ -119,6 +130,7 @@
     fake_store store_;
     std::vector<soak_instance> instances_;
     std::vector<soak_target> targets_;
+    std::unique_ptr<target_processes> processes_;
     std::map<std::string, int> earlier_run_counts_;
     int version_ = 0;
     int api_key_number_ = 1;
--- a/fakes/soak.cpp
+++ b/fakes/soak.cpp
@@ -1,4 +1,5 @@
 #include <iostream>
+#include <set>
 
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
@@ -43,6 +44,8 @@
     std::map<std::string, int> counts;
     std::vector<std::string> violations;
     std::vector<std::string> refused;
+    /// Ids and routes of the requests that may run once.
+    std::map<std::string, std::string> once;
     timer fault_timer;
     timer restart_timer;
     bool faults_cleared = false;
@@ -71,6 +74,8 @@
     auto check(const soak_caller& caller, bool complete) -> void;
     auto send_later(soak_caller& caller) -> void;
     auto inject_fault() -> void;
+    /// Checks the runs that targets in processes of their own recorded.
+    auto check_process_runs() -> void;
     auto report() -> int;
 };
 
@@ -106,6 +111,12 @@
     return caller.route == "book" || caller.route == "tag";
 }
 
+/// Bookings at targets in processes of their own have the short time limit of the large deployment.
+auto deadline_ms_of(const soak_caller& caller, soak_faults faults) -> std::string
+{
+    return faults == soak_faults::processes && caller.route == "book" ? "800" : "3000";
+}
+
 auto soak::send(soak_caller& caller) -> void
 {
     constexpr std::array routes{"book", "read", "quote"};
@@ -115,6 +126,9 @@
     }
     caller.id = "s" + std::to_string(++last_request_number);
     caller.instance = random() % fleet.instances().size();
+    if (runs_once(caller)) {
+        once[caller.id] = caller.route;
+    }
     caller.body.clear();
     caller.status = 0;
     caller.sent_at = monotonic_now();
@@ -125,7 +139,7 @@
     request.head.target = "/" + caller.route + "/" + caller.id;
     request.head.fields = {{"Host", "soak.example"},
                            {"X-Attempt-Id", caller.id},
-                           {"X-Deadline-Ms", "3000"},
+                           {"X-Deadline-Ms", deadline_ms_of(caller, options.faults)},
                            {"X-Api-Key", "always"}};
     if (is_stream(caller)) {
         request.head.fields.push_back(
@@ -161,8 +175,8 @@
     if (runs_once(caller) && run_count > 1) {
         report_violation("a " + caller.route + " request ran more than once", caller);
     }
-    const auto refused_unexecuted =
-        caller.status == 503 || caller.status == 429 || caller.status == 408;
+    const auto refused_unexecuted = caller.status == 503 || caller.status == 429 ||
+                                    caller.status == 408 || caller.status == 421;
     if (complete && refused_unexecuted && runs_once(caller)) {
         if (run_count > 0) {
             report_violation("a refused " + caller.route + " request ran", caller);
@@ -217,8 +231,36 @@
     fault_timer = loop.call_after(std::chrono::milliseconds{gap_ms}, [this] { inject_fault(); });
 }
 
+auto soak::check_process_runs() -> void
+{
+    const auto runs = fleet.run_counts_of_processes();
+    const auto was_refused = std::set<std::string>{refused.begin(), refused.end()};
+    auto ran_twice = 0;
+    auto refused_and_ran = 0;
+    for (const auto& [id, count] : runs) {
+        const auto found = once.find(id);
+        if (found == once.end()) {
+            continue;
+        }
+        if (count > 1) {
+            ++ran_twice;
+            violations.push_back("a " + found->second + " request ran more than once: " + id);
+        }
+        if (was_refused.contains(id)) {
+            ++refused_and_ran;
+            violations.push_back("a refused " + found->second + " request ran: " + id);
+        }
+    }
+    std::cout << "requests " << last_request_number << ", ran " << runs.size() << ", may run once "
+              << once.size() << ", refused " << refused.size() << ", ran twice " << ran_twice
+              << ", refused and ran " << refused_and_ran << std::endl;
+}
+
 auto soak::report() -> int
 {
+    if (options.faults == soak_faults::processes) {
+        check_process_runs();
+    }
     for (const auto& id : refused) {
         if (fleet.run_count(id) > 0) {
             violations.push_back("a refused request ran later: " + id);
@@ -288,6 +330,10 @@
     auto lost_answers = TCLAP::SwitchArg{
         "", "lost-answers", "inject only lost answers, refusals and pauses, in close succession",
         line};
+    auto applications = TCLAP::ValueArg<int>{
+        "", "applications", "targets of the service app, with --processes", false, 3, "N", line};
+    auto processes = TCLAP::SwitchArg{
+        "", "processes", "run targets as processes and inject only faults of processes", line};
     line.parse(argc, argv);
     auto options = soak_options{};
     options.program = program.getValue();
@@ -296,6 +342,9 @@
     options.instances = instances.getValue();
     options.callers = callers.getValue();
     options.targets = targets.getValue();
-    options.faults = lost_answers.getValue() ? soak_faults::lost_answers : soak_faults::all;
+    options.applications = applications.getValue();
+    options.faults = processes.getValue()      ? soak_faults::processes
+                     : lost_answers.getValue() ? soak_faults::lost_answers
+                                               : soak_faults::all;
     return soak{options}.run();
 }
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -146,6 +146,54 @@
     CHECK(call.head.status == (answers ? 200 : 502));
 }
 
+// Guards against a target's word that is taken for the next attempt's of the same request: the
+// address was taken over, so the request comes to one process for two targets in turn, and a copy
+// of the first answer precedes the second.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: a copy of an earlier attempt's refusal does not "
+                                 "speak for the attempt that has its address")
+{
+    auto first_answer = std::function<std::string(const std::string&)>{};
+    SUBCASE("another target has the address")
+    {
+        first_answer = [](const std::string& id) { return response("421 Misdirected", id, ""); };
+    }
+    SUBCASE("the target was full")
+    {
+        first_answer = refusal;
+    }
+    auto attempts = 0;
+    auto runs = 0;
+    auto process = scripted_target{
+        *this, "app-1", "app", [&](const received_request& request) {
+            if (++attempts == 1) {
+                request.connection->send(first_answer(request.id));
+                return;
+            }
+            ++runs;
+            const auto copy = request.earlier > 0 ? first_answer(request.id) : std::string{};
+            request.connection->send(
+                copy + response("200 OK", request.id, "X-Server-Seal: s\r\n", "done"));
+        }};
+    store.put("servers/app-2",
+              nlohmann::json{{"backend", "app"},
+                             {"address", "127.0.0.1:" + std::to_string(process.listener.port())},
+                             {"zone", "a"},
+                             {"capacity", 8},
+                             {"state", "ready"},
+                             {"cold_remaining_ms", 0}}
+                  .dump());
+    publish(1);
+    add_instance();
+    wait_ready();
+    wait([&] { return instances[0]->view().targets.targets.size() == 2; });
+    // the retry budget is set once the membership has settled
+    wait([&] { return instances[0]->view().retries.min_per_second > 0; });
+    const auto call = ask("/book/1", 0, "key-1", "b1");
+    CHECK(attempts == 2);
+    CHECK(runs == 1);
+    CHECK(call.head.status == 200);
+}
+
 namespace {
 
 /// Two targets, of which the one that gets the stream first breaks it off behind three events.
