Keep connections for the target they were opened for, not for its address

Cause: all attempts of a request carry the caller's attempt id, and answers are told apart by that id alone. Kept connections were shared by all targets at one address. When a target came back under another id, both entries had the address for a time; the first attempt got 421 (or a full target's 503), the second went over the same connection, and a second copy of the first answer was taken for the second target's word that it had not run the request.

Fix: a kept connection is used only for the target, and the start of it, for which it was opened. A request goes to each target once, so no connection carries two attempts of one request. As a kept connection to an earlier start of a target leads nowhere, requests no longer go there to be lost.

--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -58,6 +58,10 @@
 /// A request to send to the peer at `address`, "ip:port".
 struct outgoing_request {
     std::string address;
+    /// Which peer is expected at the address. A kept connection is used only for the peer for which
+    /// it was opened: another one may have taken over the address, and answers to the first one's
+    /// requests may still come.
+    std::string peer;
     request_head head;
     std::string body;
     /// Opens a new connection instead of reusing an idle one, which the peer may already have
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -180,6 +180,7 @@
     auto outgoing = outgoing_request{};
     target_address = chosen.published.address;
     outgoing.address = target_address;
+    outgoing.peer = target_id + "/" + std::to_string(chosen.published.started_ms);
     outgoing.head = state.codec.encode_request(exchange->head, metadata);
     outgoing.body = exchange->body;
     answer = {};
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -56,9 +56,12 @@
 
 struct client_pool;
 
+/// The address of a peer, and which peer is expected there.
+using peer_key = std::pair<std::string, std::string>;
+
 struct client_connection : std::enable_shared_from_this<client_connection> {
     std::weak_ptr<client_pool> pool;
-    std::string address;
+    peer_key peer;
     tcp_connection tcp;
     std::unique_ptr<http1_parser> parser;
     exchange_handlers handlers;
@@ -103,9 +106,9 @@
     event_loop* loop = nullptr;
     duration idle_limit{};
     client_counters counters;
-    std::map<std::string, std::vector<std::shared_ptr<client_connection>>> idle;
+    std::map<peer_key, std::vector<std::shared_ptr<client_connection>>> idle;
 
-    auto take_idle(const std::string& address) -> std::shared_ptr<client_connection>;
+    auto take_idle(const peer_key& peer) -> std::shared_ptr<client_connection>;
     auto keep(std::shared_ptr<client_connection> connection) -> void;
     auto remove(const client_connection* connection) -> void;
     auto sweep() -> void;
@@ -113,7 +116,7 @@
 
 auto client_connection::open(event_loop& loop) -> result<void>
 {
-    BOOST_LEAF_ASSIGN(tcp, connect_tcp(loop, address));
+    BOOST_LEAF_ASSIGN(tcp, connect_tcp(loop, peer.first));
     auto parser_handlers = http1_handlers{};
     parser_handlers.on_head = [this] { on_head(); };
     parser_handlers.on_body = [this](std::string_view bytes) { on_body(bytes); };
@@ -301,9 +304,9 @@
     }
 }
 
-auto client_pool::take_idle(const std::string& address) -> std::shared_ptr<client_connection>
+auto client_pool::take_idle(const peer_key& peer) -> std::shared_ptr<client_connection>
 {
-    auto found = idle.find(address);
+    auto found = idle.find(peer);
     const auto now = monotonic_now();
     while (found != idle.end() && !found->second.empty()) {
         auto connection = std::move(found->second.back());
@@ -320,12 +323,12 @@
 
 auto client_pool::keep(std::shared_ptr<client_connection> connection) -> void
 {
-    idle[connection->address].push_back(std::move(connection));
+    idle[connection->peer].push_back(std::move(connection));
 }
 
 auto client_pool::remove(const client_connection* connection) -> void
 {
-    const auto found = idle.find(connection->address);
+    const auto found = idle.find(connection->peer);
     if (found != idle.end()) {
         std::erase_if(found->second, [&](const auto& kept) { return kept.get() == connection; });
     }
@@ -428,9 +431,10 @@
 auto http1_client::send(const outgoing_request& request, exchange_handlers handlers)
     -> result<client_exchange>
 {
+    const auto peer = detail::peer_key{request.address, request.peer};
     auto connection = std::shared_ptr<detail::client_connection>{};
     if (!request.fresh_connection) {
-        connection = pool_->take_idle(request.address);
+        connection = pool_->take_idle(peer);
     }
     if (connection) {
         ++pool_->counters.reused;
@@ -439,7 +443,7 @@
     else {
         connection = std::make_shared<detail::client_connection>();
         connection->pool = pool_;
-        connection->address = request.address;
+        connection->peer = peer;
         connection->idle_limit = pool_->idle_limit;
         BOOST_LEAF_CHECK(connection->open(*pool_->loop));
         ++pool_->counters.opened;
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -49,10 +49,12 @@
     bool sent_when_failed = false;
     std::function<void()> when_complete;
 
-    auto send(http1_client& client, const std::string& address, const std::string& id) -> void
+    auto send(http1_client& client, const std::string& address, const std::string& id,
+              const std::string& peer = {}) -> void
     {
         auto request = outgoing_request{};
         request.address = address;
+        request.peer = peer;
         request.head.method = "POST";
         request.head.target = "/work";
         request.body = "body";
@@ -221,6 +223,18 @@
     CHECK(second.exchange.reused());
 }
 
+TEST_CASE_FIXTURE(call_test, "http1_client: a kept connection is not used for another peer that "
+                             "has taken over the address")
+{
+    begin().send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+    wait();
+    auto second = observed_call{};
+    second.send(client, address, "b", "another peer");
+    REQUIRE(loop.run_until([&] { return accepted.size() == 2; }, limit));
+    CHECK_FALSE(second.exchange.reused());
+    CHECK(client.counters().reused == 0);
+}
+
 TEST_CASE_FIXTURE(call_test, "http1_client: a late copy without an id does not answer the next "
                              "request on a reused connection")
 {
