Reach every second target of the process soak over a link that delays and loses bytes

Every second target is now behind a proxy whose link is delayed, silent, refusing or reset for a time; changes of the configuration shorten and restore the routes' time limits.

Soaks that start one after the other took overlapping ports (37 apart, more than 37 taken): three at once on one machine ended with 'Address already in use' and with requests of one soak at targets of another. They are 331 apart now.

--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// time limits of the routes; a change applies to requests that arrive later
+constexpr auto long_timeout_ms = 3000;
+constexpr auto short_timeout_ms = 700;
 constexpr duration pause_duration = std::chrono::milliseconds{1500};
 
 } // namespace
@@ -127,7 +130,7 @@
     sample.version = ++version_;
     sample.host = "soak.example";
     sample.api_keys = {api_key(), "always"};
-    sample.timeout_ms = 3000;
+    sample.timeout_ms = short_timeouts_ ? short_timeout_ms : long_timeout_ms;
     sample.max_connections = 50;
     sample.cold_start_seconds = 0.5;
     sample.with_limits = false;
@@ -240,6 +243,7 @@
         return processes_->inject_fault(random);
     }
     if (random() % faults_per_change == 0) {
+        short_timeouts_ = !short_timeouts_;
         publish_configuration();
         return "configuration " + std::to_string(version_);
     }
@@ -316,6 +320,8 @@
 {
     if (processes_) {
         processes_->clear_faults();
+        short_timeouts_ = false;
+        publish_configuration();
     }
     store_.set_mode(store_mode::normal);
     for (auto& instance : instances_) {
--- a/fakes/lib/soak_fleet.hpp
+++ b/fakes/lib/soak_fleet.hpp
@@ -133,6 +133,8 @@
     std::unique_ptr<target_processes> processes_;
     std::map<std::string, int> earlier_run_counts_;
     int version_ = 0;
+    /// The configuration in force has short time limits.
+    bool short_timeouts_ = false;
     int api_key_number_ = 1;
     int next_target_ = 1;
     int unexpected_exits_ = 0;
--- a/fakes/lib/target_processes.cpp
+++ b/fakes/lib/target_processes.cpp
@@ -21,6 +21,9 @@
 // which the kernel could assign them to outgoing connections in between
 constexpr auto first_port = 20000;
 constexpr auto port_range = 12000;
+// ports between the first ones of two soaks that are started one after the other; a small soak takes
+// about fifty
+constexpr auto ports_apart = 331;
 
 auto draw_ms(std::mt19937_64& random, unsigned least, unsigned most) -> duration
 {
@@ -40,7 +43,7 @@
 
 auto free_address(event_loop& loop) -> result<std::string>
 {
-    static auto next = static_cast<int>(getpid()) * 37 % port_range;
+    static auto next = static_cast<int>(getpid()) * ports_apart % port_range;
     for (auto tries = 0; tries < port_range; ++tries) {
         next = (next + 1) % port_range;
         auto address = "127.0.0.1:" + std::to_string(first_port + next);
@@ -102,6 +105,10 @@
     BOOST_LEAF_ASSIGN(target.address, free_address(loop_));
     target.id = "p-" + std::to_string(next_id_++);
     spawn(target);
+    if (processes_.size() % 2 == 0) {
+        target.proxy = std::make_unique<fault_proxy>(loop_, target.address);
+        BOOST_LEAF_CHECK(target.proxy->listen());
+    }
     publish(target);
     return {};
 }
@@ -130,7 +137,7 @@
 {
     store_.put("servers/" + target.id,
                nlohmann::json{{"backend", target.service},
-                              {"address", target.address},
+                              {"address", target.proxy ? target.proxy->address() : target.address},
                               {"zone", target.zone},
                               {"version", "v1"},
                               {"capacity", target.service == "app" ? 6 : 12},
@@ -180,6 +187,19 @@
     }));
 }
 
+auto target_processes::harm_link(process& target, std::mt19937_64& random) -> std::string
+{
+    if (random() % 3 == 0) {
+        target.proxy->reset_connections();
+        return "reset link of " + target.id;
+    }
+    const auto mode = link_mode_names[random() % link_mode_names.size()];
+    target.proxy->set_mode(mode.value);
+    resume_timers_.push_back(loop_.call_after(
+        draw_ms(random, 200, 1500), [&target] { target.proxy->set_mode(link_mode::pass); }));
+    return "link of " + target.id + " " + std::string{mode.name};
+}
+
 auto target_processes::inject_fault(std::mt19937_64& random) -> std::string
 {
     constexpr auto faults_per_group_end = 30U;
@@ -188,6 +208,9 @@
     if (random() % faults_per_group_end == 0) {
         return end_most(random() % 2 == 0 ? "app" : "engine", random);
     }
+    if (target.proxy && random() % 3 == 0) {
+        return harm_link(target, random);
+    }
     if (random() % 2 == 0) {
         pause(target, draw_ms(random, 300, 2000));
         return "pause target " + target.id;
@@ -221,6 +244,10 @@
     faults_cleared_ = true;
     for (auto& target : processes_) {
         end(target, duration::zero());
+        if (target.proxy) {
+            target.proxy->set_mode(link_mode::pass);
+            target.proxy->reset_connections();
+        }
     }
     restart_ended();
 }
--- a/fakes/lib/target_processes.hpp
+++ b/fakes/lib/target_processes.hpp
@@ -10,6 +10,7 @@
 
 #include "cyclamenpost/transport/event_loop.hpp"
 #include "fake_store.hpp"
+#include "fault_proxy.hpp"
 
 namespace cyclamenpost::fakes {
 
@@ -22,7 +23,8 @@
 
 /// The targets of a soak test, each in a process of its own, with the faults that befall processes:
 /// they are paused, and they end one by one or many at once and come back at their address, mostly
-/// under another id. Ends only processes that it started.
+/// under another id. Every second one is reached through a proxy, whose link delays or loses bytes
+/// for a time. Ends only processes that it started.
 class target_processes {
 public:
     /// `directory` holds the files with the requests that ran.
@@ -54,6 +56,8 @@
         std::string service;
         std::string zone;
         std::string address;
+        /// Null if callers connect to the process itself.
+        std::unique_ptr<fault_proxy> proxy;
         pid_t pid = -1;
         bool paused = false;
         time_point back_at{};
@@ -64,6 +68,8 @@
     auto end(process& target, duration absence) -> void;
     auto end_most(const std::string& service, std::mt19937_64& random) -> std::string;
     auto pause(process& target, duration span) -> void;
+    /// Harms the link of a target that has a proxy, and returns a description of the fault.
+    auto harm_link(process& target, std::mt19937_64& random) -> std::string;
 
     event_loop& loop_;
     fake_store& store_;
