--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -194,6 +194,43 @@
     CHECK(call.head.status == 200);
 }
 
+// Guards against a notice that is taken for another target's: the address was taken over, and a
+// late copy of the first target's answer says that it is leaving.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: a target that has taken over an address is not "
+                                 "held for the one that is leaving")
+{
+    auto earlier = std::size_t{0};
+    auto process = scripted_target{
+        *this, "app-1", "app", [&](const received_request& request) {
+            earlier = request.earlier;
+            const auto done = [](const std::string& id, const std::string& notice) {
+                return response("200 OK", id, "X-Server-Seal: s\r\n" + notice, "done");
+            };
+            const auto copy =
+                request.earlier > 0 ? done("first", "Server-Leaving: 1\r\n") : std::string{};
+            request.connection->send(copy + done(request.id, ""));
+        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    const auto& known = instances[0]->view().targets.targets;
+    wait([&] { return known.contains("app-1"); });
+    CHECK(ask("/book/1", 0, "key-1", "first").head.status == 200);
+    store.remove("servers/app-1");
+    store.put("servers/app-2",
+              nlohmann::json{{"backend", "app"},
+                             {"address", "127.0.0.1:" + std::to_string(process.listener.port())},
+                             {"zone", "a"},
+                             {"capacity", 8},
+                             {"state", "ready"},
+                             {"cold_remaining_ms", 0}}
+                  .dump());
+    wait([&] { return known.contains("app-2"); });
+    CHECK(ask("/book/2", 0, "key-1", "second").head.status == 200);
+    CHECK(earlier == 0);
+    CHECK_FALSE(known.at("app-2").leaving_since);
+}
+
 namespace {
 
 /// Two targets, of which the one that gets the stream first breaks it off behind three events.
