Bound the bytes of request bodies that a process holds

What callers would see: 25 callers that send bodies of 4 MB take an instance's memory, it is killed, and every request on it is cut.

Cause: each body had a limit, all together had none. A twelfth of the process's memory is for bodies now, as one is held up to three times; a body beyond it is refused with 503 and Retry-After before it is passed on, which is true, and the rest of its bytes are discarded. Bodies up to 16 KB are always taken. body_refused and two gauges say so.

'http1_server: bodies that are held together are bounded, and small ones are always taken' fails without the bound. 'a chunked body that is too large gets one response' shows that no second response is written; it held before.

--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -30,6 +30,9 @@
     std::size_t min_body_bytes_per_second = 500;
     /// Time after which a connection is closed whose peer reads none of the bytes sent to it.
     duration write_timeout = std::chrono::seconds{15};
+    /// Bytes of request bodies that all connections hold together. A request whose body would
+    /// exceed them is refused with 503; small bodies are always taken.
+    std::size_t max_buffered_body_bytes = std::size_t{64} << 20U;
 };
 
 /// Time from the first byte of a request within which its head has to be complete, or, once it is,
@@ -127,6 +130,12 @@
     /// Number of open connections.
     auto open_connections() const -> std::size_t;
 
+    /// Bytes of request bodies that are held.
+    auto buffered_body_bytes() const -> std::size_t;
+
+    /// Number of requests that were refused because of the bytes of other requests' bodies.
+    auto refused_bodies() const -> std::uint64_t;
+
 private:
     std::shared_ptr<detail::http1_server_state> state_;
     timer sweep_;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -25,10 +25,13 @@
 // time that it states
 constexpr int directory_ttl_divisor = 2;
 
-auto limits_of(const request_limits& limits) -> server_limits
+/// Limits of callers' connections, for a process that may use `memory_bytes`.
+auto limits_of(const request_limits& limits, std::size_t memory_bytes) -> server_limits
 {
-    return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
-            limits.idle_timeout};
+    auto chosen = server_limits{limits.max_header_bytes, limits.max_body_bytes,
+                                limits.header_timeout, limits.idle_timeout};
+    chosen.max_buffered_body_bytes = max_request_body_bytes(memory_bytes);
+    return chosen;
 }
 
 auto whole_milliseconds(duration span) -> std::string
@@ -74,7 +77,7 @@
       store_(loop, codec_, {settings_.store_address}, state_,
              {[this](const changed_keys& keys) { on_changed(keys, may_have_lapsed()); }}),
       forwarder_(loop, codec_, view_, forwarder_settings_for(settings_.memory_bytes), metrics_),
-      front_(loop, {},
+      front_(loop, limits_of({}, settings_.memory_bytes),
              [this](std::shared_ptr<server_exchange> exchange) {
                  forwarder_.handle(std::move(exchange));
              }),
@@ -283,7 +286,7 @@
                {"routes", std::to_string(table->routes.size())},
                {"keys_required", table->requires_keys ? "1" : "0"},
                {"organisations", std::to_string(table->organisations.size())}});
-    front_.set_limits(limits_of(table->limits));
+    front_.set_limits(limits_of(table->limits, settings_.memory_bytes));
     view_.routes = std::make_shared<const route_table>(std::move(*table));
 }
 
@@ -380,6 +383,11 @@
         static_cast<double>(view_.targets.targets.size()));
     set("cyclamenpost_requests_running", "Requests without a final answer.",
         static_cast<double>(forwarder_.running()));
+    set("cyclamenpost_request_body_bytes", "Bytes of request bodies that are held.",
+        static_cast<double>(front_.buffered_body_bytes()));
+    set("cyclamenpost_request_bodies_refused",
+        "Requests refused since the start because of the bytes of other requests' bodies.",
+        static_cast<double>(front_.refused_bodies()));
     set("cyclamenpost_caller_connections", "Open connections of callers.",
         static_cast<double>(front_.open_connections()));
     metrics_
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -22,6 +22,9 @@
 // connections, callers' requests and published state
 constexpr std::size_t buffered_memory_divisor = 4;
 constexpr std::size_t answer_memory_divisor = 16;
+// a body is held up to three times: by the caller's connection, by the request that is sent, and by
+// the target's connection until the kernel takes it
+constexpr std::size_t request_memory_divisor = 12;
 // a smaller or missing figure for the machine's memory must not make ordinary answers too large
 // parts of a prompt that are checked for crashing targets; prompts have a handful
 constexpr std::size_t max_prompt_keys = 16;
@@ -67,6 +70,11 @@
     return chosen;
 }
 
+auto max_request_body_bytes(std::size_t memory_bytes) -> std::size_t
+{
+    return std::max(memory_bytes, min_memory_bytes) / request_memory_divisor;
+}
+
 forwarder::forwarder(event_loop& loop, const platform_codec& codec, fleet_view& view,
                      forwarder_settings settings, metric_registry& metrics)
     : state_(new state{
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -4,6 +4,9 @@
 #include <set>
 #include <utility>
 
+#include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/limits/byte_budget.hpp"
+
 namespace cyclamenpost {
 
 namespace {
@@ -13,6 +16,9 @@
 // time for the caller to read the last response and close its end; closing at once would reset the
 // connection if bytes of the caller are unread, and the response could be lost
 constexpr duration linger_time = std::chrono::seconds{1};
+// bodies up to this size are taken whatever the others hold
+constexpr std::size_t small_body_bytes = std::size_t{16} << 10U;
+constexpr auto retry_after_full = "1";
 
 } // namespace
 
@@ -36,6 +42,8 @@
     std::set<std::shared_ptr<server_connection>> connections;
     tcp_listener listener;
     bool draining = false;
+    byte_budget bodies{0, 0, small_body_bytes};
+    std::uint64_t refused_bodies = 0;
 
     auto sweep() -> void;
 };
@@ -50,6 +58,8 @@
     /// Received bytes that have not been parsed yet.
     std::string unparsed;
     std::string body;
+    /// Bytes of the body of the request that is being received or answered.
+    std::size_t held_body_bytes = 0;
     /// Complete request that has not been passed to the owner yet.
     std::shared_ptr<server_exchange> received;
     /// The request being answered; owned by the receiver of `on_request`.
@@ -67,6 +77,11 @@
     std::uint64_t sent_bytes = 0;
     time_point sent_since{};
 
+    server_connection() = default;
+    server_connection(const server_connection&) = delete;
+    auto operator=(const server_connection&) -> server_connection& = delete;
+    ~server_connection();
+
     auto open() -> void;
     auto on_bytes(std::string_view bytes) -> void;
     auto parse_received() -> void;
@@ -74,7 +89,9 @@
     auto on_body(std::string_view bytes) -> void;
     auto on_complete() -> void;
     auto on_closed() -> void;
-    auto reject(int status) -> void;
+    auto reject(int status, header_fields fields = {}) -> void;
+    auto refuse_body() -> void;
+    auto release_body() -> void;
     auto next_request() -> void;
     auto begin_close() -> void;
     /// Whether the connection stays open after the response that is about to be sent.
@@ -99,6 +116,11 @@
     }
 };
 
+server_connection::~server_connection()
+{
+    release_body();
+}
+
 auto server_connection::open() -> void
 {
     const auto owner = server.lock();
@@ -194,9 +216,35 @@
         reject(content_too_large);
         return;
     }
+    if (owner && !hold_bytes(owner->bodies, held_body_bytes, body.size() + bytes.size())) {
+        refuse_body();
+        return;
+    }
     body += bytes;
 }
 
+/// Refuses a request for whose body there is no room. It has not been passed to the owner.
+auto server_connection::refuse_body() -> void
+{
+    constexpr auto service_unavailable = 503;
+    if (const auto owner = server.lock()) {
+        ++owner->refused_bodies;
+        log_event(log_level::info, "body_refused",
+                  {{"caller", peer},
+                   {"target", parser->request().target},
+                   {"body_bytes", std::to_string(body.size())},
+                   {"held_bytes", std::to_string(owner->bodies.used)}});
+    }
+    reject(service_unavailable, {{"Retry-After", retry_after_full}});
+}
+
+auto server_connection::release_body() -> void
+{
+    if (const auto owner = server.lock()) {
+        hold_bytes(owner->bodies, held_body_bytes, 0);
+    }
+}
+
 auto server_connection::on_complete() -> void
 {
     if (closing) {
@@ -230,10 +278,11 @@
 
 /// Responds to a request that was not received completely and closes the connection, because the
 /// rest of its bytes cannot be parsed.
-auto server_connection::reject(int status) -> void
+auto server_connection::reject(int status, header_fields fields) -> void
 {
     auto head = response_head{};
     head.status = status;
+    head.fields = std::move(fields);
     head.keep_alive = false;
     tcp.send(write_response_head(head, body_framing::length, 0));
     begin_close();
@@ -248,6 +297,7 @@
 auto server_connection::next_request() -> void
 {
     answering = nullptr;
+    release_body();
     idle_since = monotonic_now();
     if (!keep_alive) {
         begin_close();
@@ -269,6 +319,9 @@
 auto server_connection::begin_close() -> void
 {
     closing = true;
+    body.clear();
+    body.shrink_to_fit();
+    release_body();
     if (tcp.unsent_bytes() == 0) {
         close_after_response();
     }
@@ -430,6 +483,7 @@
 {
     state_->loop = &loop;
     state_->limits = limits;
+    state_->bodies.limit = limits.max_buffered_body_bytes;
     state_->on_request = std::move(on_request);
     sweep_ = loop.call_every(sweep_period, [state = state_.get()] { state->sweep(); });
 }
@@ -474,6 +528,7 @@
 auto http1_server::set_limits(server_limits limits) -> void
 {
     state_->limits = limits;
+    state_->bodies.limit = limits.max_buffered_body_bytes;
     for (const auto& connection : state_->connections) {
         connection->parser->set_max_header_bytes(limits.max_header_bytes);
     }
@@ -510,4 +565,14 @@
     return state_->connections.size();
 }
 
+auto http1_server::buffered_body_bytes() const -> std::size_t
+{
+    return state_->bodies.used;
+}
+
+auto http1_server::refused_bodies() const -> std::uint64_t
+{
+    return state_->refused_bodies;
+}
+
 } // namespace cyclamenpost
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -321,3 +321,67 @@
     CHECK(requests.empty());
     ::close(descriptor);
 }
+
+// Guards against a second response on one request: the rest of the chunks that came with the one
+// that exceeded the limit was judged as well.
+TEST_CASE_FIXTURE(server_test, "http1_server: a chunked body that is too large gets one response")
+{
+    const auto chunk = write_chunk(std::string(limits().max_body_bytes + 1, 'b'));
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
+                chunk + chunk);
+    wait_for_end();
+    CHECK(received.find("HTTP/1.1 413") == 0);
+    CHECK(received.rfind("HTTP/1.1 ") == 0);
+    CHECK(requests.empty());
+}
+
+// Guards against a process that exceeds its memory because many callers send large bodies at once.
+TEST_CASE_FIXTURE(server_test, "http1_server: bodies that are held together are bounded, and small "
+                               "ones are always taken")
+{
+    auto chosen = limits();
+    chosen.max_body_bytes = 200'000;
+    chosen.body_timeout = std::chrono::seconds{60};
+    chosen.max_buffered_body_bytes = 50'000;
+    server.set_limits(chosen);
+    const auto post = [](std::size_t length) {
+        return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) +
+               "\r\n\r\n";
+    };
+    const auto call = [&](std::size_t length) {
+        auto answer = std::string{};
+        auto ended = false;
+        auto other = tcp_connection{};
+        REQUIRE(try_or(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(other,
+                                  connect_tcp(loop, "127.0.0.1:" + std::to_string(server.port())));
+                return {};
+            },
+            [](const error& failure) { FAIL(describe(failure)); }));
+        other.set_handlers({{},
+                            [&](std::string_view bytes) { answer += bytes; },
+                            {},
+                            [&](close_reason) { ended = true; }});
+        other.send(post(length) + std::string(length, 'b'));
+        const auto served = requests.size() + 1;
+        REQUIRE(loop.run_until(
+            [&] { return requests.size() == served || answer.ends_with("\r\n\r\n"); }, limit));
+        if (requests.size() == served) {
+            requests.back()->respond(status_head(200), {});
+            REQUIRE(loop.run_until([&] { return answer.ends_with("\r\n\r\n"); }, limit));
+        }
+        return answer;
+    };
+    caller.send(post(60'000) + std::string(40'000, 'b'));
+    REQUIRE(loop.run_until([&] { return server.buffered_body_bytes() == 40'000; }, limit));
+    const auto refused = call(30'000);
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(server.refused_bodies() == 1);
+    CHECK(call(1'000).starts_with("HTTP/1.1 200"));
+    caller.reset();
+    REQUIRE(loop.run_until([&] { return server.buffered_body_bytes() == 0; }, limit));
+    CHECK(call(30'000).starts_with("HTTP/1.1 200"));
+    CHECK(server.buffered_body_bytes() == 0);
+}
