--- a/fakes/lib/process_target.cpp
+++ b/fakes/lib/process_target.cpp
@@ -43,7 +43,9 @@
     auto text = write_response_head(head, body_framing::chunked, 0);
     for (auto event = 1; event <= fake_target::events_per_stream; ++event) {
         const auto number = std::to_string(event);
-        text += write_chunk("id: " + number + "\ndata: piece " + number + "\n\n");
+        auto piece = "id: " + number;
+        piece.append("\ndata: piece ").append(number).append("\n\n");
+        text += write_chunk(piece);
     }
     return text + write_chunk({});
 }
--- a/fakes/lib/target_processes.cpp
+++ b/fakes/lib/target_processes.cpp
@@ -21,8 +21,8 @@
 // which the kernel could assign them to outgoing connections in between
 constexpr auto first_port = 20000;
 constexpr auto port_range = 12000;
-// ports between the first ones of two soaks that are started one after the other; a small soak takes
-// about fifty
+// ports between the first ones of two soaks that are started one after the other; a small soak
+// takes about fifty
 constexpr auto ports_apart = 331;
 
 auto draw_ms(std::mt19937_64& random, unsigned least, unsigned most) -> duration
