--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -42,8 +42,9 @@
 /// Buffer limits for a process that may use `memory_bytes`.
 auto forwarder_settings_for(std::size_t memory_bytes) -> forwarder_settings;
 
-/// Bytes of request bodies that a process that may use `memory_bytes` holds together.
-auto max_request_body_bytes(std::size_t memory_bytes) -> std::size_t;
+/// Bytes of request bodies that a process that may use `memory_bytes` holds together. One body of
+/// the largest size fits even if the figure for the memory is small or missing.
+auto max_request_body_bytes(std::size_t memory_bytes, std::size_t largest_body) -> std::size_t;
 
 /// The request path: finds route, organisation and target of each request, forwards the request and
 /// returns the answer. Owns the connections to the targets.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -30,7 +30,7 @@
 {
     auto chosen = server_limits{limits.max_header_bytes, limits.max_body_bytes,
                                 limits.header_timeout, limits.idle_timeout};
-    chosen.max_buffered_body_bytes = max_request_body_bytes(memory_bytes);
+    chosen.max_buffered_body_bytes = max_request_body_bytes(memory_bytes, limits.max_body_bytes);
     return chosen;
 }
 
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -70,9 +70,9 @@
     return chosen;
 }
 
-auto max_request_body_bytes(std::size_t memory_bytes) -> std::size_t
+auto max_request_body_bytes(std::size_t memory_bytes, std::size_t largest_body) -> std::size_t
 {
-    return std::max(memory_bytes, min_memory_bytes) / request_memory_divisor;
+    return std::max(memory_bytes / request_memory_divisor, largest_body);
 }
 
 forwarder::forwarder(event_loop& loop, const platform_codec& codec, fleet_view& view,
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -31,7 +31,14 @@
                                              }));
             return {};
         });
-        fleet.store.put("servers/" + id,
+        publish_as(fleet, id, service);
+    }
+
+    /// Publishes a target that has this one's address.
+    auto publish_as(fleet_fixture& fleet, const std::string& name, const std::string& service) const
+        -> void
+    {
+        fleet.store.put("servers/" + name,
                         nlohmann::json{{"backend", service},
                                        {"address", "127.0.0.1:" + std::to_string(listener.port())},
                                        {"zone", "a"},
@@ -174,14 +181,7 @@
             request.connection->send(
                 copy + response("200 OK", request.id, "X-Server-Seal: s\r\n", "done"));
         }};
-    store.put("servers/app-2",
-              nlohmann::json{{"backend", "app"},
-                             {"address", "127.0.0.1:" + std::to_string(process.listener.port())},
-                             {"zone", "a"},
-                             {"capacity", 8},
-                             {"state", "ready"},
-                             {"cold_remaining_ms", 0}}
-                  .dump());
+    process.publish_as(*this, "app-2", "app");
     publish(1);
     add_instance();
     wait_ready();
@@ -217,14 +217,7 @@
     wait([&] { return known.contains("app-1"); });
     CHECK(ask("/book/1", 0, "key-1", "first").head.status == 200);
     store.remove("servers/app-1");
-    store.put("servers/app-2",
-              nlohmann::json{{"backend", "app"},
-                             {"address", "127.0.0.1:" + std::to_string(process.listener.port())},
-                             {"zone", "a"},
-                             {"capacity", 8},
-                             {"state", "ready"},
-                             {"cold_remaining_ms", 0}}
-                  .dump());
+    process.publish_as(*this, "app-2", "app");
     wait([&] { return known.contains("app-2"); });
     CHECK(ask("/book/2", 0, "key-1", "second").head.status == 200);
     CHECK(earlier == 0);
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -347,5 +347,7 @@
     CHECK(small.max_answer_bytes == 10 * megabyte);
     CHECK(forwarder_settings_for(4096 * megabyte).max_answer_bytes == 16 * megabyte);
     CHECK(forwarder_settings_for(0).max_answer_bytes == 2 * megabyte);
+    CHECK(max_request_body_bytes(240 * megabyte, 4 * megabyte) == 20 * megabyte);
+    CHECK(max_request_body_bytes(0, 4 * megabyte) == 4 * megabyte);
     CHECK(forwarder_settings_for(0).max_event_bytes <= forwarder_settings_for(0).max_answer_bytes);
 }
