End the closing links of a fault proxy with it

Stack: std::list::remove in the timer of fault_proxy::end_link. A crashed target replaces its proxy; a link that was being closed held itself through its own timer, outlived the proxy and then looked for itself in the freed list. The timer holds the link weakly now. 'fault_proxy: a link that is closing ends with its proxy' failed before in three of three runs and holds in three of three. Stand-ins only; no program of ours changes.

--- a/fakes/lib/fault_proxy.cpp
+++ b/fakes/lib/fault_proxy.cpp
@@ -118,10 +118,13 @@
     if (reason == close_reason::finished && !silent) {
         // delayed bytes are sent before the connection closes
         const auto wait = connection->delayed.empty() ? duration{1} : 2 * added_delay;
-        connection->delayed.push_back(loop_.call_after(wait, [this, connection, upstream_ended] {
-            (upstream_ended ? connection->downstream : connection->upstream).close();
-            links_.remove(connection);
-        }));
+        connection->delayed.push_back(
+            loop_.call_after(wait, [this, weak = std::weak_ptr{connection}, upstream_ended] {
+                if (const auto alive = weak.lock()) {
+                    (upstream_ended ? alive->downstream : alive->upstream).close();
+                    links_.remove(alive);
+                }
+            }));
         return;
     }
     remaining.reset();
--- a/tests/unit-fakes.cpp
+++ b/tests/unit-fakes.cpp
@@ -6,6 +6,7 @@
 #include "caller.hpp"
 #include "fake_application.hpp"
 #include "fake_engine.hpp"
+#include "fault_proxy.hpp"
 
 using namespace cyclamenpost;
 using namespace std::chrono_literals;
@@ -224,3 +225,40 @@
         CHECK(json::parse(old.body)["fence"] == 5);
     }
 }
+
+// Guards against a soak that never ends: a link that was closing outlived its proxy, which a
+// crashed target replaces, and then looked for itself in the freed list of links.
+TEST_CASE("fault_proxy: a link that is closing ends with its proxy")
+{
+    auto loop = event_loop{};
+    auto upstream = tcp_listener{};
+    auto accepted = tcp_connection{};
+    auto caller = tcp_connection{};
+    auto ended = false;
+    auto proxy = std::unique_ptr<fakes::fault_proxy>{};
+    REQUIRE(try_or(
+        [&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(upstream,
+                              tcp_listener::open(loop, "127.0.0.1:0",
+                                                 [&](tcp_connection connection, const auto&) {
+                                                     accepted = std::move(connection);
+                                                 }));
+            proxy = std::make_unique<fakes::fault_proxy>(loop, "127.0.0.1:" +
+                                                                   std::to_string(upstream.port()));
+            BOOST_LEAF_CHECK(proxy->listen());
+            BOOST_LEAF_ASSIGN(caller, connect_tcp(loop, proxy->address()));
+            return {};
+        },
+        [](const error& failure) { FAIL(describe(failure)); }));
+    auto received = false;
+    caller.set_handlers(
+        {{}, [&](std::string_view) { received = true; }, {}, [&](close_reason) { ended = true; }});
+    REQUIRE(loop.run_until([&] { return accepted.connected(); }, 10s));
+    proxy->set_mode(fakes::link_mode::delay);
+    accepted.send("bytes");
+    accepted.finish_sending();
+    // the proxy has the bytes and the end, and holds both back
+    REQUIRE(loop.run_until([&] { return received; }, 10s));
+    proxy.reset();
+    CHECK(loop.run_until([&] { return ended; }, 10s));
+}
