--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -35,6 +35,7 @@
             if (options.metrics_port > 0) {
                 settings.metrics_address = host + ":" + std::to_string(options.metrics_port);
             }
+            settings.options = options.traffic;
             return {};
         },
         on_error);
--- a/include/cyclamenpost/entry/entry_options.hpp
+++ b/include/cyclamenpost/entry/entry_options.hpp
@@ -5,6 +5,7 @@
 #include "cyclamenpost/configuration/settings.hpp"
 #include "cyclamenpost/core/error.hpp"
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/entry/entry_settings.hpp"
 
 namespace cyclamenpost {
 
@@ -17,6 +18,7 @@
     /// Port of the metrics endpoint on the instance's own address; 0 disables it. 9464 is the
     /// customary port of Prometheus exporters in applications.
     int metrics_port = 9464;
+    traffic_options traffic;
     /// Check the settings and exit.
     bool check = false;
     /// The help or version text was requested and has been printed.
--- a/include/cyclamenpost/entry/entry_settings.hpp
+++ b/include/cyclamenpost/entry/entry_settings.hpp
@@ -7,6 +7,21 @@
 
 namespace cyclamenpost {
 
+/// Optional parts of the request path. Each is off unless the command line or the environment
+/// switches it on.
+struct traffic_options {
+    /// Requests in flight, failures and pace of targets are exchanged between instances.
+    bool fleet_load = false;
+    /// Targets are chosen so that instances with the same old load reports do not all take the
+    /// same one.
+    bool even_load = false;
+    /// Requests that wait for a target are ordered, and those that cannot be served are rejected at
+    /// once.
+    bool admission = false;
+    /// A repeatable request leaves a target that is silent for longer than its service usually is.
+    bool early_retry = false;
+};
+
 /// Addresses, location and limits of an entry instance. Addresses are "ip:port".
 struct entry_settings {
     std::string name;
@@ -48,6 +63,7 @@
     /// `cold_slack`.
     double cold_over = 1;
     double cold_slack = 0;
+    traffic_options options;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cyclamenpost/entry/entry_settings.hpp"
 #include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/limits/retries.hpp"
 #include "cyclamenpost/routing/route_table.hpp"
@@ -20,6 +21,8 @@
 struct fleet_view {
     /// Id of this instance.
     std::string own_id;
+    /// Optional parts that are switched on.
+    traffic_options options;
     /// Null before the first configuration.
     std::shared_ptr<const route_table> routes;
     target_table targets;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -99,6 +99,7 @@
 
 auto entry_instance::apply_settings() -> void
 {
+    view_.options = settings_.options;
     view_.targets.settings.zone = settings_.zone;
     view_.targets.settings.drain_time = settings_.target_drain_time;
     view_.targets.settings.cold_rate_factor = settings_.cold_over;
--- a/src/entry/entry_options.cpp
+++ b/src/entry/entry_options.cpp
@@ -34,6 +34,22 @@
     return port;
 }
 
+/// Reads a switch, "on" or "off".
+auto parse_switch(TCLAP::ValueArg<std::string>& flag, const environment& variables) -> result<bool>
+{
+    const auto text = value_of(flag, variables);
+    if (text != "on" && text != "off") {
+        return fail(error_id::setting_invalid, step::settings, flag.getName(),
+                    "the value \"" + text + "\" is not a switch; allowed: on, off");
+    }
+    return text == "on";
+}
+
+auto switch_text(bool enabled) -> std::string
+{
+    return enabled ? "on" : "off";
+}
+
 } // namespace
 
 auto parse_entry_options(int argc, const char* const* argv, const environment& variables,
@@ -61,6 +77,36 @@
                      std::to_string(defaults.metrics_port),
                      "PORT",
                      line};
+    auto fleet_load =
+        text{"",
+             "fleet-load",
+             "exchange requests in flight, failures and pace of targets with other instances",
+             false,
+             switch_text(defaults.traffic.fleet_load),
+             "on|off",
+             line};
+    auto even_load =
+        text{"",
+             "even-load",
+             "choose targets so that instances with the same old reports spread their requests",
+             false,
+             switch_text(defaults.traffic.even_load),
+             "on|off",
+             line};
+    auto admission = text{"",
+                          "admission",
+                          "order waiting requests and reject those that cannot be served",
+                          false,
+                          switch_text(defaults.traffic.admission),
+                          "on|off",
+                          line};
+    auto early_retry = text{"",
+                            "early-retry",
+                            "leave a target that is silent for longer than its service usually is",
+                            false,
+                            switch_text(defaults.traffic.early_retry),
+                            "on|off",
+                            line};
     auto check = TCLAP::SwitchArg{"", "check", "check the settings and exit", line};
     try {
         line.parse(argc, argv);
@@ -81,6 +127,10 @@
     }
     defaults.level = *named;
     BOOST_LEAF_ASSIGN(defaults.metrics_port, parse_port(value_of(port, variables)));
+    BOOST_LEAF_ASSIGN(defaults.traffic.fleet_load, parse_switch(fleet_load, variables));
+    BOOST_LEAF_ASSIGN(defaults.traffic.even_load, parse_switch(even_load, variables));
+    BOOST_LEAF_ASSIGN(defaults.traffic.admission, parse_switch(admission, variables));
+    BOOST_LEAF_ASSIGN(defaults.traffic.early_retry, parse_switch(early_retry, variables));
     return defaults;
 }
 
--- a/tests/unit-entry_options.cpp
+++ b/tests/unit-entry_options.cpp
@@ -49,3 +49,17 @@
     parse({"--odd"}, {}, &message);
     CHECK(message.find("odd") != std::string::npos);
 }
+
+TEST_CASE("entry_options: optional parts are off unless a flag or a variable switches them on")
+{
+    const auto plain = parse({}, {}).traffic;
+    CHECK_FALSE((plain.fleet_load || plain.even_load || plain.admission || plain.early_retry));
+    const auto chosen = parse({"--even-load", "on"}, {{"CYCLAMENPOST_ADMISSION", "on"}}).traffic;
+    CHECK(chosen.even_load);
+    CHECK(chosen.admission);
+    CHECK_FALSE(chosen.fleet_load);
+    auto message = std::string{};
+    parse({"--early-retry", "yes"}, {}, &message);
+    CHECK(message.find("early-retry") != std::string::npos);
+    CHECK(message.find("on, off") != std::string::npos);
+}
