Add the fleet's record of targets: failures, requests in flight and pace

Cause: an instance sees 0.03 requests per second at one of 140 targets, so each loses a request of its own at each target that hangs; targets without load reports look the same to all instances.

--- a/include/cyclamenpost/entry/load_reporter.hpp
+++ b/include/cyclamenpost/entry/load_reporter.hpp
@@ -1,15 +1,21 @@
 #pragma once
 
+#include <set>
+#include <string_view>
+
+#include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/entry/peers.hpp"
+#include "cyclamenpost/routing/fleet_load.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 
 namespace cyclamenpost {
 
 /// Sends the load that targets report to other instances. Each instance reads only a few answers a
-/// second, while the load bound needs the load of the whole service.
+/// second, while the load bound needs the load of the whole service. With `--fleet-load`, also
+/// sends what this instance or its zone knows of targets by itself, and failures at once.
 class load_reporter {
 public:
-    load_reporter(event_loop& loop, peers& others, const target_table& targets);
+    load_reporter(event_loop& loop, peers& others, target_table& targets, metric_registry& metrics);
 
     /// Starts sending reports.
     auto start() -> void;
@@ -17,14 +23,34 @@
     /// Stops sending reports.
     auto stop() -> void;
 
+    /// Stores figures that another instance has sent.
+    auto receive(const fleet_list& figures, const fleet_sender& sender) -> void;
+
+    /// Counts a malformed message.
+    auto count_unreadable() -> void;
+
 private:
     auto send_reports() -> void;
+    /// Sends the figures of targets that have failed since the last message.
+    auto send_news() -> void;
+    auto list_of(fleet_scope scope, const std::vector<std::string>* only) -> fleet_list;
+    /// Adds the complete figures to a message. Returns their size in bytes.
+    auto add_figures(load_message& message, fleet_scope scope) -> std::size_t;
+    auto count_list(std::string_view outcome, std::size_t lists) -> void;
 
     event_loop& loop_;
     peers& peers_;
-    const target_table& targets_;
+    target_table& targets_;
+    metric_registry& metrics_;
     time_point reported_until_{};
+    /// When the loads are due again; figures may be sent before.
+    time_point loads_due_{};
+    /// Scopes of which the last complete list had entries.
+    std::set<fleet_scope> listed_;
+    std::uint32_t sequence_ = 0;
+    notice_budget notices_;
     timer timer_;
+    timer news_timer_;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cyclamenpost/entry/entry_settings.hpp"
+#include "cyclamenpost/entry/load_messages.hpp"
 #include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/membership/cluster_node.hpp"
 #include "cyclamenpost/routing/change_sources.hpp"
@@ -28,6 +29,10 @@
     std::function<void(const shared_evidence&)> on_evidence;
     /// Load reports of a peer.
     std::function<void(const std::vector<shared_load>&, report_origin)> on_loads;
+    /// Figures of targets from a peer.
+    std::function<void(const fleet_list&, const fleet_sender&)> on_figures;
+    /// A message with load reports was malformed and has had no effect.
+    std::function<void()> on_loads_unreadable;
     /// Whether this instance reads the store and its last call was answered.
     std::function<bool()> store_available;
     /// Whether entries that vanish now may have lapsed, as seen by this instance's store reader.
@@ -80,8 +85,7 @@
     auto live_peers() const -> std::vector<std::string>;
 
     /// Sends load reports to each of the given instances.
-    auto send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
-        -> void;
+    auto send_loads(const std::vector<std::string>& to, const load_message& loads) -> void;
 
     /// Instances to which this one sends load reports.
     auto load_report_recipients() const -> load_recipients;
@@ -128,6 +132,7 @@
     time_point started_{};
     time_point last_notice_{};
     time_point last_fetch_{};
+    time_point last_unreadable_log_{};
     /// Version of the seed list; membership ignores a list that is not newer.
     std::uint64_t seeds_version_ = 0;
     change_sources sources_;
--- a/include/cyclamenpost/entry/platform_codec.hpp
+++ b/include/cyclamenpost/entry/platform_codec.hpp
@@ -52,6 +52,9 @@
     std::uint32_t running = 0;
     /// Requests waiting for a free slot.
     std::uint32_t waiting = 0;
+    std::optional<std::uint32_t> slots;
+    /// Time that processing takes, as a multiple of the usual time.
+    std::optional<double> pace;
 };
 
 /// Metadata in the head of a target's answer.
@@ -70,6 +73,8 @@
     /// The body has a content encoding, which callers do not ask for; it is not the target's own.
     bool encoded = false;
     std::optional<target_load_report> load;
+    /// The target reported a load that is malformed; it is ignored as a whole.
+    bool load_unreadable = false;
     /// Time for which the target remains cold.
     std::optional<duration> cold_remaining;
 };
--- a/include/cyclamenpost/routing/load_sharing.hpp
+++ b/include/cyclamenpost/routing/load_sharing.hpp
@@ -17,6 +17,8 @@
     std::uint32_t requests = 0;
     /// Time since the target's report.
     duration age{};
+    /// Time that processing takes at the target, as a multiple of the usual time.
+    double pace = 1;
 };
 
 /// Instances to which this instance sends load reports.
--- a/include/cyclamenpost/routing/target_estimate.hpp
+++ b/include/cyclamenpost/routing/target_estimate.hpp
@@ -21,4 +21,17 @@
 auto estimate_target(const target_table& table, const target& candidate, time_point now)
     -> target_estimate;
 
+/// Time to the first byte of an answer.
+struct wait_estimate {
+    duration mean{};
+    /// Deviation that is to be expected of it.
+    duration deviation{};
+};
+
+/// Estimates how long a request that is sent to the target now waits for the first byte: the usual
+/// time of the service, the time until a slot is free if all are taken, both at the target's pace.
+/// Zero if nothing is known of the service.
+auto expected_wait(const target_table& table, const target& candidate, time_point now)
+    -> wait_estimate;
+
 } // namespace cyclamenpost
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cyclamenpost/core/types.hpp"
+#include "cyclamenpost/routing/fleet_record.hpp"
 
 namespace cyclamenpost {
 
@@ -60,6 +61,8 @@
     report_origin origin = report_origin::own_answer;
     /// When this instance received the report.
     time_point received_at{};
+    /// Time that processing takes at the target, as a multiple of the usual time.
+    double pace = 1;
 };
 
 /// A target with the state that this instance observed.
@@ -85,6 +88,8 @@
     std::optional<time_point> leaving_since;
     /// The target has asked this instance to send it nothing until then.
     time_point rests_until{};
+    /// What the fleet knows of this incarnation.
+    target_fleet_record fleet;
 };
 
 /// Settings of the target table.
@@ -121,6 +126,7 @@
     std::map<std::string, double, std::less<>> request_seconds;
     /// End of the warm-up of zones that were returned to service.
     std::map<std::string, time_point> zone_cold_until;
+    fleet_state fleet;
 };
 
 /// Adds or updates a target. A restart under a known id discards the state observed before, except
@@ -192,9 +198,12 @@
                  time_point now) -> void;
 
 /// Records the load that a target reported in an answer to this instance: requests that are running
-/// and requests that are queued.
-auto record_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now)
-    -> void;
+/// and requests that are queued, and its pace as a multiple of the usual time.
+auto record_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now,
+                 double pace = 1) -> void;
+
+/// When any instance was last known to have had an answer from this incarnation; unset if none was.
+auto last_heard(const target& known) -> time_point;
 
 /// Average time for which a request has occupied a target of the service lately; 0 if none has.
 auto usual_request_time(const target_table& table, std::string_view service) -> duration;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -71,8 +71,12 @@
               [this](const std::vector<shared_load>& loads, report_origin origin) {
                   merge_shared_loads(view_.targets, loads, origin, monotonic_now());
               },
-              [this] { return store_.available(); }, [this] { return may_have_lapsed(); }}),
-      loads_(loop, peers_, view_.targets),
+              [this](const fleet_list& figures, const fleet_sender& sender) {
+                  loads_.receive(figures, sender);
+              },
+              [this] { loads_.count_unreadable(); }, [this] { return store_.available(); },
+              [this] { return may_have_lapsed(); }}),
+      loads_(loop, peers_, view_.targets, metrics_),
       crashes_(loop, peers_, view_, metrics_, [this] { forwarder_.stop_blocked(); }),
       store_(loop, codec_, {settings_.store_address}, state_,
              {[this](const changed_keys& keys) { on_changed(keys, may_have_lapsed()); }}),
@@ -100,6 +104,7 @@
 auto entry_instance::apply_settings() -> void
 {
     view_.options = settings_.options;
+    view_.targets.fleet.active = settings_.options.fleet_load;
     view_.targets.settings.zone = settings_.zone;
     view_.targets.settings.drain_time = settings_.target_drain_time;
     view_.targets.settings.cold_rate_factor = settings_.cold_over;
@@ -352,6 +357,7 @@
     known.expects_others = names_others(settings_.seeds, settings_.peer_address);
     known.settle_time = settings_.membership_settle_time;
     const auto settled = knows_fleet_size(known);
+    retain_fleet_sources(view_.targets, peers_.live_peers());
     view_.members = settled ? std::move(ids) : std::vector<std::string>{};
     view_.retries = divide_retry_budget(
         {settings_.retry_budget_ratio, settled ? settings_.retry_slack : 0}, view_.members.size());
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -191,6 +191,7 @@
     attempt_begun = now;
     tried.insert(target_id);
     advance(progress, event_of(request_event_kind::attempt_begun));
+    expected = expected_wait(state.view.targets, chosen, now);
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
     answer_underway = false;
@@ -358,8 +359,10 @@
     if (found != state.view.targets.targets.end() && head.status != misdirected) {
         found->second.answered_at = first_byte_at;
         if (answer.load) {
-            record_load(found->second, answer.load->running, answer.load->waiting, first_byte_at);
+            record_load(found->second, answer.load->running, answer.load->waiting, first_byte_at,
+                        answer.load->pace.value_or(1));
         }
+        note_first_byte(found->second);
         if (answer.cold_remaining && *answer.cold_remaining > duration::zero()) {
             found->second.cold_until =
                 std::max(found->second.cold_until, first_byte_at + *answer.cold_remaining);
@@ -596,6 +599,7 @@
     const auto self = shared_from_this();
     const auto step = advance(progress, event);
     if (!progress.attempting) {
+        note_attempt_end(cause, health);
         attempt.cancel();
         release_target(health);
     }
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -14,6 +14,7 @@
 #include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
 #include "cyclamenpost/routing/request_steps.hpp"
+#include "cyclamenpost/routing/target_estimate.hpp"
 
 namespace cyclamenpost {
 
@@ -83,6 +84,8 @@
     std::string answer_body;
     bool in_flight = false;
     bool streaming_events = false;
+    /// Time to the first byte that was expected of the attempt.
+    wait_estimate expected;
     /// When the answer last grew by a whole event, or by a minimum of bytes without events.
     time_point last_progress{};
     /// Length of the answer's body, or number of its events, at that time.
@@ -151,6 +154,10 @@
     auto handle(const request_event& event, std::string_view cause, target_outcome health,
                 std::optional<duration> retry_after = {}) -> void;
     auto record_attempt(const request_step& step, std::string_view cause) -> void;
+    /// Records the time to the first byte of the attempt for the fleet's record.
+    auto note_first_byte(target& answering) -> void;
+    /// Records for the fleet's record whether the target answered the attempt that ends.
+    auto note_attempt_end(std::string_view cause, target_outcome health) -> void;
     /// Records the end of the attempt in the target table, once.
     auto release_target(target_outcome health) -> void;
     /// Sends the buffered answer of the target, which ended its attempt as `end`, to the caller.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -1,6 +1,7 @@
 #include "forward_job.hpp"
 
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/routing/fleet_load.hpp"
 
 namespace cyclamenpost::detail {
 
@@ -25,6 +26,58 @@
         .add();
 }
 
+auto forward_job::note_first_byte(target& answering) -> void
+{
+    const auto& options = state.view.options;
+    const auto waited = first_byte_at - attempt_begun;
+    if (!options.fleet_load) {
+        return;
+    }
+    if (answer.load_unreadable) {
+        state.metrics
+            .counter_of("cyclamenpost_loads_unreadable_total",
+                        "Answers of targets whose load could not be read.")
+            .add();
+        if (sample_line(state.sampler, first_byte_at)) {
+            log_event(log_level::warning, "load_unreadable", {{"target", target_id}});
+        }
+    }
+    // a rejection says nothing about the time that processing takes
+    if (answer_head.status / 100 != 2) {
+        return;
+    }
+    record_first_byte(state.view.targets, answering, waited, first_byte_at);
+    const auto observe = [&](const char* name, const char* help, duration span) {
+        state.metrics.histogram_of(name, help, {{"service", answering.published.service}})
+            .observe(std::chrono::duration<double>(span).count());
+    };
+    observe("cyclamenpost_attempt_expected_wait_seconds",
+            "Time to the first byte that was expected of attempts that were answered.",
+            expected.mean);
+    observe("cyclamenpost_attempt_wait_seconds",
+            "Time from the beginning of an attempt to the first byte of its answer.", waited);
+}
+
+auto forward_job::note_attempt_end(std::string_view cause, target_outcome health) -> void
+{
+    const auto found = state.view.targets.targets.find(target_id);
+    const auto now = monotonic_now();
+    // a lack of memory here says nothing about the target
+    if (!state.view.options.fleet_load || !in_flight || cause == "buffers_full" ||
+        found == state.view.targets.targets.end()) {
+        return;
+    }
+    const auto has_answered = first_byte_at >= attempt_begun;
+    const auto silent = !has_answered && now - attempt_begun >= silence_timeout();
+    if (health == target_outcome::cancelled && !silent && !has_answered) {
+        return;
+    }
+    const auto answered = health == target_outcome::succeeded ||
+                          health == target_outcome::rejected ||
+                          (health == target_outcome::cancelled && has_answered);
+    cyclamenpost::record_attempt(state.view.targets, found->second, answered, attempt_begun, now);
+}
+
 auto forward_job::refusal_proof_name() const -> std::string_view
 {
     return name_in(refusal_proof_names, proof_of_refusal(progress));
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -29,6 +29,8 @@
 // values up to this size are pushed; each instance fetches larger ones from its preferred reader,
 // which spreads the load
 constexpr std::size_t max_pushed_bytes = 4000;
+// a peer of another version may send an unreadable message with each of its reports
+constexpr duration unreadable_log_interval = std::chrono::seconds{10};
 
 auto age_in_ms(time_point at, time_point now) -> std::uint32_t
 {
@@ -272,20 +274,12 @@
     return ids;
 }
 
-auto peers::send_loads(const std::vector<std::string>& to, const std::vector<shared_load>& loads)
-    -> void
+auto peers::send_loads(const std::vector<std::string>& to, const load_message& loads) -> void
 {
-    if (to.empty() || loads.empty()) {
+    if (to.empty() || (loads.loads.empty() && !loads.figures)) {
         return;
     }
-    auto message = wire::envelope{};
-    auto& reports = *message.mutable_load_reports();
-    for (const auto& load : loads) {
-        reports.add_target(load.target);
-        reports.add_requests(load.requests);
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(load.age);
-        reports.add_age_ms(static_cast<std::uint32_t>(age.count()));
-    }
+    const auto message = encode_load_message(loads, settings_.options.fleet_load, monotonic_now());
     for (const auto& id : to) {
         cluster_.send(id, message);
     }
@@ -519,20 +513,24 @@
 
 auto peers::on_load_reports(const wire::envelope& message) -> void
 {
-    const auto& reports = message.load_reports();
-    const auto count = reports.target_size();
-    if (reports.requests_size() != count || reports.age_ms_size() != count) {
-        log_event(log_level::warning, "loads_unreadable", {{"peer", message.from_instance()}});
+    const auto now = monotonic_now();
+    const auto decoded = decode_load_message(message.load_reports(), now);
+    if (!decoded) {
+        handlers_.on_loads_unreadable();
+        if (now - last_unreadable_log_ >= unreadable_log_interval) {
+            last_unreadable_log_ = now;
+            log_event(log_level::warning, "loads_unreadable", {{"peer", message.from_instance()}});
+        }
         return;
     }
-    auto loads = std::vector<shared_load>{};
-    for (auto index = 0; index < count; ++index) {
-        loads.push_back({reports.target(index), reports.requests(index),
-                         std::chrono::milliseconds{reports.age_ms(index)}});
-    }
     const auto sender = find_member(cluster_.membership(), message.from_instance());
     const auto same_zone = sender && sender->zone == settings_.zone;
-    handlers_.on_loads(loads, same_zone ? report_origin::zone_peer : report_origin::other_zone);
+    handlers_.on_loads(decoded->loads,
+                       same_zone ? report_origin::zone_peer : report_origin::other_zone);
+    if (decoded->figures && sender && settings_.options.fleet_load) {
+        handlers_.on_figures(*decoded->figures, {name_key(message.from_instance()),
+                                                 message.from_start_ms(), same_zone});
+    }
 }
 
 } // namespace cyclamenpost
--- a/src/routing/load_sharing.cpp
+++ b/src/routing/load_sharing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cyclamenpost/routing/fleet_load.hpp"
 #include "cyclamenpost/routing/store_readers.hpp"
 
 namespace cyclamenpost {
@@ -49,7 +50,7 @@
         }
         const auto age = now - known.load->reported_at;
         if (age < table.settings.max_load_age) {
-            loads.push_back({name_key(id), known.load->requests, age});
+            loads.push_back({name_key(id), known.load->requests, age, known.load->pace});
         }
     }
     return loads;
@@ -68,9 +69,9 @@
         if (known.load && known.load->reported_at >= at) {
             continue;
         }
-        known.answered_at = std::max(known.answered_at, at);
+        note_answer(table, known, at);
         const auto begun = known.load && known.last_started > at ? known.load->started_since : 0;
-        known.load = reported_load{load.requests, at, begun, origin, now};
+        known.load = reported_load{load.requests, at, begun, origin, now, load.pace};
     }
 }
 
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -219,10 +219,15 @@
     ++used.consecutive_failures;
 }
 
-auto record_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now)
-    -> void
+auto record_load(target& reporting, std::uint32_t running, std::uint32_t waiting, time_point now,
+                 double pace) -> void
+{
+    reporting.load = reported_load{running + waiting, now, 0, report_origin::own_answer, now, pace};
+}
+
+auto last_heard(const target& known) -> time_point
 {
-    reporting.load = reported_load{running + waiting, now, 0, report_origin::own_answer, now};
+    return known.answered_at;
 }
 
 auto record_request_time(target_table& table, const std::string& service, duration occupied) -> void
