Report silence early, and show the exchange between instances in a test

Cause: a request that must not be repeated waits on after the silence limit, so the fleet heard of a target that hangs only at the caller's time limit. An estimate computed exponentials for each target, also for those without failures. Change: the silence limit counts as a failure once. Estimates of targets without failures return early. Early notices update the number that is subtracted from the sum.

--- a/include/cyclamenpost/routing/fleet_load.hpp
+++ b/include/cyclamenpost/routing/fleet_load.hpp
@@ -104,6 +104,9 @@
 /// What the fleet knows of a target now, own requests and attempts included.
 auto fleet_figures_at(const target& known, time_point now) -> fleet_figures;
 
+/// Requests that the fleet has in flight at a target now, own ones included.
+auto fleet_requests_at(const target& known, time_point now) -> std::uint32_t;
+
 /// Share of the fleet's recent attempts at a target that failed, from 0 to 1.
 ///
 /// Load pattern: a target hangs or fails some of its requests, and an instance sees 0.03 requests
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -397,6 +397,11 @@
         static_cast<double>(front_.refused_bodies()));
     set("cyclamenpost_caller_connections", "Open connections of callers.",
         static_cast<double>(front_.open_connections()));
+    if (settings_.options.fleet_load) {
+        set("cyclamenpost_fails_mostly",
+            "Whether attempts fail at most of the targets used, so that failures are not reported.",
+            fails_mostly(view_.targets, monotonic_now()) ? 1 : 0);
+    }
     metrics_
         .gauge_of("cyclamenpost_build_info", "Version and source digest of the program; always 1.",
                   {{"version", CYCLAMENPOST_VERSION}, {"build", std::string{build_digest()}}})
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -191,6 +191,7 @@
     attempt_begun = now;
     tried.insert(target_id);
     advance(progress, event_of(request_event_kind::attempt_begun));
+    silence_noted = false;
     expected = expected_wait(state.view.targets, chosen, now);
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
@@ -256,6 +257,9 @@
     const auto waited = monotonic_now() - attempt_begun;
     auto event = event_of(request_event_kind::silent);
     event.overdue = waited >= silence;
+    if (event.connected && event.overdue) {
+        note_silence();
+    }
     if (!event.connected || (event.overdue && progress.repeatable)) {
         add_retry_facts(event);
     }
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -84,6 +84,8 @@
     std::string answer_body;
     bool in_flight = false;
     bool streaming_events = false;
+    /// The silence of the target counts as a failure already.
+    bool silence_noted = false;
     /// Time to the first byte that was expected of the attempt.
     wait_estimate expected;
     /// When the answer last grew by a whole event, or by a minimum of bytes without events.
@@ -156,6 +158,9 @@
     auto record_attempt(const request_step& step, std::string_view cause) -> void;
     /// Records the time to the first byte of the attempt for the fleet's record.
     auto note_first_byte(target& answering) -> void;
+    /// Records for the fleet's record that the target has not answered in time. A request that must
+    /// not be repeated goes on waiting for the answer.
+    auto note_silence() -> void;
     /// Records for the fleet's record whether the target answered the attempt that ends.
     auto note_attempt_end(std::string_view cause, target_outcome health) -> void;
     /// Records the end of the attempt in the target table, once.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -1,5 +1,7 @@
 #include "forward_job.hpp"
 
+#include <utility>
+
 #include "cyclamenpost/core/log.hpp"
 #include "cyclamenpost/routing/fleet_load.hpp"
 
@@ -58,6 +60,16 @@
             "Time from the beginning of an attempt to the first byte of its answer.", waited);
 }
 
+auto forward_job::note_silence() -> void
+{
+    const auto found = state.view.targets.targets.find(target_id);
+    if (!state.view.options.fleet_load || !in_flight || found == state.view.targets.targets.end() ||
+        std::exchange(silence_noted, true)) {
+        return;
+    }
+    cyclamenpost::record_attempt(state.view.targets, found->second, false, monotonic_now());
+}
+
 auto forward_job::note_attempt_end(std::string_view cause, target_outcome health) -> void
 {
     const auto found = state.view.targets.targets.find(target_id);
@@ -67,14 +79,12 @@
         found == state.view.targets.targets.end()) {
         return;
     }
-    const auto has_answered = first_byte_at >= attempt_begun;
-    const auto silent = !has_answered && now - attempt_begun >= silence_timeout();
-    if (health == target_outcome::cancelled && !silent && !has_answered) {
+    const auto answered = health == target_outcome::succeeded || health == target_outcome::rejected;
+    const auto silent = first_byte_at < attempt_begun && now - attempt_begun >= silence_timeout();
+    const auto ended_here = health == target_outcome::cancelled && !silent;
+    if (ended_here || (silence_noted && !answered)) {
         return;
     }
-    const auto answered = health == target_outcome::succeeded ||
-                          health == target_outcome::rejected ||
-                          (health == target_outcome::cancelled && has_answered);
     cyclamenpost::record_attempt(state.view.targets, found->second, answered, now);
 }
 
--- a/src/entry/load_reporter.cpp
+++ b/src/entry/load_reporter.cpp
@@ -28,6 +28,15 @@
                     std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds}));
 }
 
+/// Remembers the requests in flight that an early notice reports.
+auto note_early(target_table& table, const std::vector<fleet_entry>& own) -> void
+{
+    for (const auto& entry : own) {
+        auto& known = table.targets.at(table.id_by_key.at(entry.target));
+        known.fleet.reported_in_flight = entry.figures.in_flight;
+    }
+}
+
 } // namespace
 
 load_reporter::load_reporter(event_loop& loop, peers& others, target_table& targets,
@@ -146,6 +155,9 @@
             return;
         }
         const auto bytes = peers_.send_loads(to, message);
+        if (scope == fleet_scope::instance) {
+            note_early(targets_, message.figures->entries);
+        }
         sent_bytes_ += scope == fleet_scope::zone ? 0 : bytes;
         count_list("sent_early", 1);
     };
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -12,6 +12,8 @@
 constexpr double count_seconds = 1.0;
 // counts below this are left out of messages and estimates
 constexpr double least_count = 0.05;
+// even a hundred failures have less than the least count after this time
+constexpr duration failure_memory = std::chrono::seconds{8};
 // one failure alone gives a share of two thirds
 constexpr double prior_answers = 0.5;
 // a target that answers again must be used again soon
@@ -54,7 +56,8 @@
 /// Difference of a pace from 1 decays, since the target's pace has probably changed.
 auto decayed_pace(double pace, time_point known_at, time_point now) -> double
 {
-    return 1 + (pace - 1) * std::exp(-seconds_between(known_at, now) / pace_seconds);
+    return pace == 1 ? 1
+                     : 1 + (pace - 1) * std::exp(-seconds_between(known_at, now) / pace_seconds);
 }
 
 auto is_fresh(time_point received, time_point now) -> bool
@@ -236,7 +239,7 @@
     const auto seconds = std::chrono::duration<double>(waited).count();
     const auto capacity = std::max(1.0, static_cast<double>(answering.published.capacity));
     const auto requests = is_silent(table, answering, now)
-                              ? static_cast<double>(fleet_figures_at(answering, now).in_flight)
+                              ? static_cast<double>(fleet_requests_at(answering, now))
                               : estimated_load(table, answering, now);
     const auto [usual, is_first] =
         table.fleet.first_byte.try_emplace(answering.published.service, first_byte_times{seconds});
@@ -402,7 +405,7 @@
         return figures;
     }
     const auto shared = decayed(record.shared->figures, record.shared->received_at, now);
-    figures.in_flight += shared.in_flight - std::min(shared.in_flight, record.own_in_shared);
+    figures.in_flight = fleet_requests_at(known, now);
     figures.failed = std::max(figures.failed, shared.failed);
     figures.answered = std::max(figures.answered, shared.answered);
     figures.reporters = std::max(figures.reporters, shared.reporters);
@@ -412,8 +415,23 @@
     return figures;
 }
 
+auto fleet_requests_at(const target& known, time_point now) -> std::uint32_t
+{
+    const auto& record = known.fleet;
+    if (!record.shared || !is_fresh(record.shared->received_at, now)) {
+        return known.in_flight;
+    }
+    const auto shared = record.shared->figures.in_flight;
+    return known.in_flight + shared - std::min(shared, record.own_in_shared);
+}
+
 auto failure_share_at(const target& known, time_point now) -> double
 {
+    // most targets have no failures, and choosing one looks at all
+    const auto newest = known.fleet.failed_at;
+    if (newest == time_point{} || now - newest > failure_memory) {
+        return 0;
+    }
     const auto figures = fleet_figures_at(known, now);
     if (figures.failed < least_count) {
         return 0;
--- a/src/routing/target_estimate.cpp
+++ b/src/routing/target_estimate.cpp
@@ -36,8 +36,8 @@
     }
     const auto& shared = candidate.fleet.shared;
     if (is_silent(table, candidate, now)) {
-        estimate.requests = std::max(
-            estimate.requests, static_cast<double>(fleet_figures_at(candidate, now).in_flight));
+        estimate.requests =
+            std::max(estimate.requests, static_cast<double>(fleet_requests_at(candidate, now)));
         estimate.age = shared && now - shared->received_at < max_fleet_age
                            ? now - shared->received_at
                            : duration::zero();
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -140,7 +140,8 @@
     check(!load || (load->running <= most_load && load->waiting <= most_load &&
                     load->slots.value_or(1) > 0 && load->slots.value_or(1) <= most_load &&
                     load->pace.value_or(1) > 0 && load->pace.value_or(1) <= highest_pace),
-          "an absurd load is used", *find_field(response.fields, "X-Server-Load"));
+          "an absurd load is used",
+          std::string{find_field(response.fields, "X-Server-Load").value_or("")});
     request.target = damaged.some(request.target);
     platform::decode_directory_query(request);
     platform::is_readiness_probe(request);
--- a/tests/unit-fleet_load.cpp
+++ b/tests/unit-fleet_load.cpp
@@ -1,4 +1,4 @@
-#include <doctest/doctest.h>
+#include "entry_fixture.hpp"
 
 #include "cyclamenpost/entry/load_messages.hpp"
 #include "cyclamenpost/routing/fleet_load.hpp"
@@ -346,3 +346,43 @@
     CHECK(per_second < 3'200);
     CHECK(per_second > 1'000);
 }
+
+TEST_CASE_FIXTURE(test::fleet_fixture,
+                  "fleet_load: failures and requests of one instance stay unknown to the others")
+{
+    options.fleet_load = true;
+    publish(1);
+    auto& failing = add_target("app-1", "app");
+    failing.set_mode(fakes::target_mode::failing);
+    add_instance("a");
+    add_instance("a");
+    add_instance("b");
+    wait_ready();
+    wait([&] {
+        return std::all_of(instances.begin(), instances.end(), [](const auto& instance) {
+            return instance->view().members.size() == 3;
+        });
+    });
+    const auto estimates = [&](const auto& known) {
+        return std::all_of(instances.begin(), instances.end(), [&](const auto& instance) {
+            const auto& table = instance->view().targets;
+            return known(estimate_target(table, table.targets.at("app-1"), monotonic_now()));
+        });
+    };
+    CHECK(estimates([](const auto& estimate) { return estimate.failure_share == 0; }));
+    for (auto instance = std::size_t{0}; instance < instances.size(); ++instance) {
+        ask("/read/1", instance);
+        wait([&] {
+            return estimates([](const auto& estimate) { return estimate.failure_share > 0.3; });
+        });
+        wait([&] {
+            return estimates([](const auto& estimate) { return estimate.failure_share < 0.1; });
+        });
+    }
+    failing.set_mode(fakes::target_mode::mute);
+    auto call = test::caller_call{};
+    send(call, "/read/2", 2);
+    wait([&] { return estimates([](const auto& estimate) { return estimate.requests == 1; }); });
+    wait([&] { return call.ended(); });
+    wait([&] { return estimates([](const auto& estimate) { return estimate.requests == 0; }); });
+}
