--- a/tests/unit-fleet_load.cpp
+++ b/tests/unit-fleet_load.cpp
@@ -383,6 +383,11 @@
     auto call = test::caller_call{};
     send(call, "/read/2", 2);
     wait([&] { return estimates([](const auto& estimate) { return estimate.requests == 1; }); });
+    // the silence is known before the caller's time limit ends the request
+    wait([&] {
+        return estimates([](const auto& estimate) { return estimate.failure_share > 0.3; });
+    });
+    CHECK_FALSE(call.ended());
     wait([&] { return call.ended(); });
     wait([&] { return estimates([](const auto& estimate) { return estimate.requests == 0; }); });
 }
