--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "cyclamenpost/routing/target_estimate.hpp"
 #include "cyclamenpost/routing/target_table.hpp"
 
 namespace cyclamenpost {
@@ -24,6 +25,12 @@
     /// Id of this instance, and ids of all instances among which cold quotas are divided.
     std::string_view own_id;
     const std::vector<std::string>* members = nullptr;
+    /// Requests without a holder are spread by weight instead of sent to the least cost.
+    bool even_load = false;
+    /// Time within which the caller wants the first byte; 0 if it is not known.
+    duration objective{};
+    /// Random number in [0, 1) for the spread.
+    double random = 0;
 };
 
 /// Weights of the cost function. Costs are measured in shares of a target's capacity.
@@ -83,6 +90,14 @@
     /// When the first of the eligible targets that want to rest, and were not tried, may be used
     /// again.
     std::optional<time_point> first_rest_end;
+    /// What was believed of the chosen target when the request was spread.
+    target_estimate believed;
+    /// Share of such requests that the chosen target gets; 0 if the request was not spread.
+    double share = 0;
+    /// Highest load among the targets for the spread, as a multiple of their mean.
+    double busiest_to_mean = 0;
+    /// A target of lower cost was passed over.
+    bool differs = false;
 };
 
 /// Whether other targets may fetch cached prompt prefixes from the target: it is healthy, even if
@@ -94,7 +109,9 @@
 /// in rendezvous order over the prefix hash that is neither above the load bound nor in backoff
 /// (consistent hashing with bounded loads, Mirrokni et al. 2018). While the first one is heavily
 /// loaded, the second may replace it: a choice between two evens out load that is known with a
-/// delay (Mitzenmacher 2001).
+/// delay (Mitzenmacher 2001). With `even_load`, a request that does not go to a holder is spread
+/// over all targets that are like the one of lowest cost in load bound and backoff
+/// (`spread_weights`).
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice;
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -115,6 +115,9 @@
     auto query = query_targets();
     query.prefix_hash = affinity;
     query.prefix_tokens = shared_tokens;
+    if (query.even_load) {
+        query.random = std::uniform_real_distribution<double>{}(state.random);
+    }
     const auto choice = choose_target(state.view.targets, query, state.weights, monotonic_now());
     if (choice.chosen == nullptr) {
         wait_for_target(choice);
@@ -168,7 +171,13 @@
                {"over_bound", choice.over_bound ? "1" : "0"},
                {"holder", choice.is_holder ? "1" : "0"},
                {"fetch_from", metadata.prompt_cache_source},
-               {"same_zone", choice.same_zone ? "1" : "0"}});
+               {"same_zone", choice.same_zone ? "1" : "0"},
+               {"share", std::to_string(choice.share)},
+               {"age_ms", milliseconds_text(choice.believed.age)},
+               {"pace", std::to_string(choice.believed.pace)},
+               {"failure_share", std::to_string(choice.believed.failure_share)},
+               {"busiest_to_mean", std::to_string(choice.busiest_to_mean)},
+               {"differs", choice.differs ? "1" : "0"}});
     if (choice.over_bound) {
         state.metrics
             .counter_of("cyclamenpost_over_bound_choices_total",
@@ -526,6 +535,8 @@
     query.cold_per_second = service->cold_per_second;
     query.own_id = state.view.own_id;
     query.members = &state.view.members;
+    query.even_load = state.view.options.even_load;
+    query.objective = matched_route->latency_objective;
     return query;
 }
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <utility>
 
+#include "cyclamenpost/routing/even_choice.hpp"
+
 namespace cyclamenpost {
 
 namespace {
@@ -24,18 +27,26 @@
     return load + 1 > weights.load_bound_factor * mean + weights.load_bound_slack;
 }
 
+/// The load on which a choice is based.
+auto load_of(const target_table& table, const choice_query& query, const target& known,
+             time_point now) -> double
+{
+    return query.even_load ? estimate_target(table, known, now).requests
+                           : estimated_load(table, known, now);
+}
+
 /// Mean load over all listed targets of a service. It includes targets that receive no new
 /// requests, because they are draining or their zone is evacuated: the load bound refers to the
 /// mean of the whole service.
-auto mean_load(const target_table& table, const std::vector<std::string>& ids, time_point now)
-    -> double
+auto mean_load(const target_table& table, const choice_query& query,
+               const std::vector<std::string>& ids, time_point now) -> double
 {
     auto sum = 0.0;
     auto count = 0;
     for (const auto& id : ids) {
         const auto& known = table.targets.at(id);
         if (known.listing == listing_state::listed) {
-            sum += estimated_load(table, known, now);
+            sum += load_of(table, query, known, now);
             ++count;
         }
     }
@@ -127,6 +138,54 @@
     return cost;
 }
 
+/// Whether load information of this age, or of none, is used.
+auto usable_age(const target_table& table, const target& known, const target_estimate& believed)
+    -> std::optional<duration>
+{
+    const auto known_load = known.load.has_value() || believed.age > duration::zero();
+    return known_load && believed.age < table.settings.max_load_age ? std::optional{believed.age}
+                                                                    : std::nullopt;
+}
+
+/// Replaces the choice of least cost by one drawn among the available targets that are like it in
+/// load bound and backoff.
+auto spread_choice(const target_table& table, const std::vector<candidate>& candidates,
+                   const choice_query& query, const choice_weights& weights, time_point now,
+                   target_choice& choice) -> void
+{
+    const auto state_of = [&](const target& known, double load) {
+        return std::pair{exceeds_load_bound(load, choice.mean_load, weights),
+                         now < known.backoff_until};
+    };
+    const auto wanted = state_of(*choice.chosen, choice.load);
+    auto pool = std::vector<const candidate*>{};
+    auto targets = std::vector<spread_target>{};
+    auto sum = 0.0;
+    auto busiest = 0.0;
+    for (const auto& entry : candidates) {
+        const auto& known = *entry.destination;
+        if (!entry.available || state_of(known, entry.load) != wanted) {
+            continue;
+        }
+        const auto believed = estimate_target(table, known, now);
+        pool.push_back(&entry);
+        targets.push_back({static_cast<double>(known.published.capacity), believed.requests,
+                           usable_age(table, known, believed), believed.pace,
+                           believed.failure_share, known.published.zone != table.settings.zone});
+        sum += entry.load;
+        busiest = std::max(busiest, entry.load);
+    }
+    const auto shares =
+        spread_weights(targets, {usual_request_time(table, query.service), query.objective});
+    const auto index = pick_weighted(shares, query.random);
+    choice.share = shares[index] / std::accumulate(shares.begin(), shares.end(), 0.0);
+    choice.busiest_to_mean = sum > 0 ? busiest * static_cast<double>(pool.size()) / sum : 1;
+    choice.differs = pool[index]->destination != choice.chosen;
+    choice.chosen = pool[index]->destination;
+    choice.load = pool[index]->load;
+    choice.believed = estimate_target(table, *choice.chosen, now);
+}
+
 /// Lists the targets of the service that pass the check and sets the reason why one of them is
 /// unavailable.
 auto list_candidates(target_table& table, const choice_query& query,
@@ -142,7 +201,7 @@
         }
         auto& entry = candidates.emplace_back();
         entry.destination = &known;
-        entry.load = estimated_load(table, known, now);
+        entry.load = load_of(table, query, known, now);
         if (query.tried != nullptr && query.tried->contains(id)) {
             choice.reason = std::max(choice.reason, no_target_reason::all_tried);
             continue;
@@ -190,7 +249,7 @@
         candidates = list_candidates(table, query, ids->second, choice, now, is_last_resort);
     }
     choice.candidate_count = candidates.size();
-    choice.mean_load = mean_load(table, ids->second, now);
+    choice.mean_load = mean_load(table, query, ids->second, now);
     const auto* holder = find_holder(candidates, query, weights, choice.mean_load, now);
     auto best = std::numeric_limits<double>::infinity();
     for (const auto& entry : candidates) {
@@ -204,6 +263,9 @@
             choice.load = entry.load;
         }
     }
+    if (query.even_load && choice.chosen != nullptr && choice.chosen != holder) {
+        spread_choice(table, candidates, query, weights, now, choice);
+    }
     if (choice.chosen != nullptr) {
         choice.reason = no_target_reason::none;
         choice.is_holder = choice.chosen == holder;
