Walk a service's targets by pointer, count spread choices, and draw evenly

A choice looked each id up in a string-keyed map twice. by_service now has pointers sorted by id. Spread draws of an instance follow the golden ratio sequence per service.

--- a/include/cyclamenpost/routing/even_choice.hpp
+++ b/include/cyclamenpost/routing/even_choice.hpp
@@ -43,4 +43,9 @@
 /// Index of the weight in which a number from 0 to 1 falls. `weights` must have a positive one.
 auto pick_weighted(std::span<const double> weights, double random) -> std::size_t;
 
+/// The number that follows in an instance's sequence of numbers for `pick_weighted`: the fraction
+/// of the previous one plus the golden ratio. Such a sequence spreads an instance's successive
+/// requests more evenly than independent draws; instances begin at random numbers.
+auto next_draw(double previous) -> double;
+
 } // namespace cyclamenpost
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -111,9 +111,18 @@
 
 /// All targets by id, with the evacuated zones.
 struct target_table {
+    target_table() = default;
+    /// A copy would hold pointers into the original.
+    target_table(const target_table&) = delete;
+    target_table(target_table&&) = default;
+    auto operator=(const target_table&) -> target_table& = delete;
+    auto operator=(target_table&&) -> target_table& = default;
+    ~target_table() = default;
+
     target_settings settings;
     std::unordered_map<std::string, target> targets;
-    std::unordered_map<std::string, std::vector<std::string>> by_service;
+    /// Pointers into `targets`, sorted by id; a choice walks them without looking up ids.
+    std::unordered_map<std::string, std::vector<target*>> by_service;
     /// Target ids by the keys used in messages between instances (`name_key`).
     std::unordered_map<std::uint32_t, std::string> id_by_key;
     std::set<std::string> evacuated_zones;
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -116,7 +116,7 @@
     query.prefix_hash = affinity;
     query.prefix_tokens = shared_tokens;
     if (query.even_load) {
-        query.random = std::uniform_real_distribution<double>{}(state.random);
+        query.random = draw_spread();
     }
     const auto choice = choose_target(state.view.targets, query, state.weights, monotonic_now());
     if (choice.chosen == nullptr) {
@@ -178,6 +178,9 @@
                {"failure_share", std::to_string(choice.believed.failure_share)},
                {"busiest_to_mean", std::to_string(choice.busiest_to_mean)},
                {"differs", choice.differs ? "1" : "0"}});
+    if (choice.share > 0) {
+        record_spread(choice);
+    }
     if (choice.over_bound) {
         state.metrics
             .counter_of("cyclamenpost_over_bound_choices_total",
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -36,6 +37,8 @@
     std::vector<std::shared_ptr<server_exchange>> held;
     std::function<void(const target_crash&)> report_crash;
     line_sampler sampler;
+    /// Last number of each service's sequence for spreading requests (`next_draw`).
+    std::map<std::string, double, std::less<>> spread_draws;
 };
 
 namespace detail {
@@ -176,6 +179,9 @@
     auto time_left() const -> duration;
     /// A random number in [0, 1).
     auto draw() const -> double;
+    /// The number by which the next request of the service is spread.
+    auto draw_spread() const -> double;
+    auto record_spread(const target_choice& choice) const -> void;
     auto find_prompt_cache_source(const target_choice& choice) const -> std::string;
     auto call_later(duration delay, void (forward_job::*step)()) -> timer;
 };
--- a/src/routing/even_choice.cpp
+++ b/src/routing/even_choice.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenpost/routing/even_choice.hpp"
 
 #include <algorithm>
+#include <numbers>
 #include <numeric>
 
 namespace cyclamenpost {
@@ -99,4 +100,10 @@
     return chosen;
 }
 
+auto next_draw(double previous) -> double
+{
+    const auto next = previous + std::numbers::phi - 1;
+    return next < 1 ? next : next - 1;
+}
+
 } // namespace cyclamenpost
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -17,6 +17,7 @@
 /// An eligible target of the service.
 struct candidate {
     target* destination = nullptr;
+    target_estimate believed;
     double load = 0;
     /// Not tried before, and within its cold quota.
     bool available = false;
@@ -27,26 +28,36 @@
     return load + 1 > weights.load_bound_factor * mean + weights.load_bound_slack;
 }
 
-/// The load on which a choice is based.
-auto load_of(const target_table& table, const choice_query& query, const target& known,
-             time_point now) -> double
+/// What is believed of each target of a service, whether it may be chosen or not.
+auto survey(const target_table& table, const choice_query& query,
+            const std::vector<target*>& members, time_point now) -> std::vector<candidate>
 {
-    return query.even_load ? estimate_target(table, known, now).requests
-                           : estimated_load(table, known, now);
+    auto surveyed = std::vector<candidate>{};
+    surveyed.reserve(members.size());
+    for (auto* known : members) {
+        auto& entry = surveyed.emplace_back();
+        entry.destination = known;
+        if (query.even_load) {
+            entry.believed = estimate_target(table, *known, now);
+        }
+        else {
+            entry.believed.requests = estimated_load(table, *known, now);
+        }
+        entry.load = entry.believed.requests;
+    }
+    return surveyed;
 }
 
 /// Mean load over all listed targets of a service. It includes targets that receive no new
 /// requests, because they are draining or their zone is evacuated: the load bound refers to the
 /// mean of the whole service.
-auto mean_load(const target_table& table, const choice_query& query,
-               const std::vector<std::string>& ids, time_point now) -> double
+auto mean_load(const std::vector<candidate>& surveyed) -> double
 {
     auto sum = 0.0;
     auto count = 0;
-    for (const auto& id : ids) {
-        const auto& known = table.targets.at(id);
-        if (known.listing == listing_state::listed) {
-            sum += load_of(table, query, known, now);
+    for (const auto& entry : surveyed) {
+        if (entry.destination->listing == listing_state::listed) {
+            sum += entry.load;
             ++count;
         }
     }
@@ -99,18 +110,16 @@
 
 /// Finds the first target in rendezvous order, except the chosen one, from which the prefix can be
 /// fetched.
-auto find_alternate_holder(const target_table& table, const std::vector<std::string>& ids,
-                           const choice_query& query, const target* chosen, time_point now)
-    -> const target*
+auto find_alternate_holder(const std::vector<target*>& members, const choice_query& query,
+                           const target* chosen, time_point now) -> const target*
 {
     const target* holder = nullptr;
     auto best = std::uint64_t{0};
-    for (const auto& id : ids) {
-        const auto& known = table.targets.at(id);
-        const auto hash = hash64(id, query.prefix_hash);
-        if (&known != chosen && can_export_cache(known, now) &&
+    for (const auto* known : members) {
+        const auto hash = hash64(known->published.id, query.prefix_hash);
+        if (known != chosen && can_export_cache(*known, now) &&
             (holder == nullptr || hash > best)) {
-            holder = &known;
+            holder = known;
             best = hash;
         }
     }
@@ -167,7 +176,7 @@
         if (!entry.available || state_of(known, entry.load) != wanted) {
             continue;
         }
-        const auto believed = estimate_target(table, known, now);
+        const auto& believed = entry.believed;
         pool.push_back(&entry);
         targets.push_back({static_cast<double>(known.published.capacity), believed.requests,
                            usable_age(table, known, believed), believed.pace,
@@ -183,25 +192,25 @@
     choice.differs = pool[index]->destination != choice.chosen;
     choice.chosen = pool[index]->destination;
     choice.load = pool[index]->load;
-    choice.believed = estimate_target(table, *choice.chosen, now);
+    choice.believed = pool[index]->believed;
 }
 
 /// Lists the targets of the service that pass the check and sets the reason why one of them is
 /// unavailable.
-auto list_candidates(target_table& table, const choice_query& query,
-                     const std::vector<std::string>& ids, target_choice& choice, time_point now,
+auto list_candidates(const target_table& table, const choice_query& query,
+                     const std::vector<candidate>& surveyed, target_choice& choice, time_point now,
                      decltype(is_eligible)& may_be_used) -> std::vector<candidate>
 {
     auto candidates = std::vector<candidate>{};
     choice.reason = no_target_reason::service_empty;
-    for (const auto& id : ids) {
-        auto& known = table.targets.at(id);
+    candidates.reserve(surveyed.size());
+    for (const auto& one : surveyed) {
+        const auto& known = *one.destination;
+        const auto& id = known.published.id;
         if (!may_be_used(table, known, now)) {
             continue;
         }
-        auto& entry = candidates.emplace_back();
-        entry.destination = &known;
-        entry.load = load_of(table, query, known, now);
+        auto& entry = candidates.emplace_back(one);
         if (query.tried != nullptr && query.tried->contains(id)) {
             choice.reason = std::max(choice.reason, no_target_reason::all_tried);
             continue;
@@ -239,17 +248,18 @@
                    time_point now) -> target_choice
 {
     auto choice = target_choice{};
-    const auto ids = table.by_service.find(std::string{query.service});
-    if (ids == table.by_service.end()) {
+    const auto members = table.by_service.find(std::string{query.service});
+    if (members == table.by_service.end()) {
         choice.reason = no_target_reason::service_empty;
         return choice;
     }
-    auto candidates = list_candidates(table, query, ids->second, choice, now, is_eligible);
+    const auto surveyed = survey(table, query, members->second, now);
+    auto candidates = list_candidates(table, query, surveyed, choice, now, is_eligible);
     if (candidates.empty()) {
-        candidates = list_candidates(table, query, ids->second, choice, now, is_last_resort);
+        candidates = list_candidates(table, query, surveyed, choice, now, is_last_resort);
     }
     choice.candidate_count = candidates.size();
-    choice.mean_load = mean_load(table, query, ids->second, now);
+    choice.mean_load = mean_load(surveyed);
     const auto* holder = find_holder(candidates, query, weights, choice.mean_load, now);
     auto best = std::numeric_limits<double>::infinity();
     for (const auto& entry : candidates) {
@@ -272,7 +282,7 @@
         choice.over_bound = exceeds_load_bound(choice.load, choice.mean_load, weights);
         if (query.prefix_hash != 0) {
             choice.alternate_holder =
-                find_alternate_holder(table, ids->second, query, choice.chosen, now);
+                find_alternate_holder(members->second, query, choice.chosen, now);
         }
         choice.same_zone = choice.chosen->published.zone == table.settings.zone;
     }
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -23,13 +23,15 @@
 // weight of the newest request; the average follows a change within about 50 requests
 constexpr double newest_time_weight = 0.02;
 
-auto index_target(target_table& table, const published_target& entry) -> void
+auto index_target(target_table& table, target& added) -> void
 {
-    auto& ids = table.by_service[entry.service];
-    if (std::find(ids.begin(), ids.end(), entry.id) == ids.end()) {
-        ids.push_back(entry.id);
-        std::sort(ids.begin(), ids.end());
-        table.id_by_key[name_key(entry.id)] = entry.id;
+    auto& members = table.by_service[added.published.service];
+    const auto place = std::ranges::lower_bound(
+        members, added.published.id, {},
+        [](const target* one) -> const std::string& { return one->published.id; });
+    if (place == members.end() || *place != &added) {
+        members.insert(place, &added);
+        table.id_by_key[name_key(added.published.id)] = added.published.id;
     }
 }
 
@@ -66,10 +68,10 @@
     return false;
 }
 
-auto unindex_target(target_table& table, const published_target& entry) -> void
+auto unindex_target(target_table& table, const target& dropped) -> void
 {
-    std::erase(table.by_service[entry.service], entry.id);
-    table.id_by_key.erase(name_key(entry.id));
+    std::erase(table.by_service[dropped.published.service], &dropped);
+    table.id_by_key.erase(name_key(dropped.published.id));
 }
 
 } // namespace
@@ -81,7 +83,7 @@
     const auto restarted = !added && (known.published.started_ms != entry.started_ms ||
                                       known.published.address != entry.address);
     if (!added && known.published.service != entry.service) {
-        unindex_target(table, known.published);
+        unindex_target(table, known);
     }
     if (restarted) {
         const auto running = known.in_flight;
@@ -90,7 +92,7 @@
     }
     known.published = entry;
     known.listing = listing_state::listed;
-    index_target(table, entry);
+    index_target(table, known);
     if (entry.cold_remaining > duration::zero()) {
         known.cold_until = std::max(known.cold_until, now + entry.cold_remaining);
     }
@@ -127,7 +129,7 @@
                              candidate.in_flight == 0 && !says_leaving(candidate, now) &&
                              now - candidate.unlisted_at > unlisted_retention;
         if (expired) {
-            unindex_target(table, candidate.published);
+            unindex_target(table, candidate);
         }
         next = expired ? table.targets.erase(next) : std::next(next);
     }
