--- a/src/routing/even_choice.cpp
+++ b/src/routing/even_choice.cpp
@@ -8,10 +8,9 @@
 
 namespace {
 
-// the gap to the fair load is filled within this many ages of the information: requests at a target
-// follow an integrator with delay, whose variance under random arrivals is least at a rate of 0.74
-// per delay
-constexpr double ages_to_fill = 1.35;
+// The gap to the fair load is filled within this many ages of the information: the fastest
+// correction of an integrator with delay that does not swing has a rate of 1/e per delay.
+constexpr double ages_to_fill = std::numbers::e;
 // newer information is used as if it had this age; an instance cannot know of requests that others
 // have just sent
 constexpr duration min_age = std::chrono::milliseconds{5};
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -1,8 +1,12 @@
 #include "cyclamenpost/routing/target_choice.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
 #include <limits>
 #include <numeric>
+#include <span>
 #include <utility>
 
 #include "cyclamenpost/routing/even_choice.hpp"
@@ -14,6 +18,14 @@
 // number of tokens to which `prefill_per_10k_tokens` and `spillover_slack_per_10k_tokens` refer
 constexpr double weighted_tokens = 10'000;
 
+// a spread choice looks at so many targets, which bounds its time; their mean differs from that of
+// all by a few percent
+constexpr std::size_t max_surveyed = 128;
+// first targets in a prompt's rendezvous order that are looked at besides
+constexpr std::size_t max_holders = 16;
+// makes the offset of the sample independent of the number by which one of it is picked
+constexpr double offset_scale = 7919;
+
 /// An eligible target of the service.
 struct candidate {
     target* destination = nullptr;
@@ -29,8 +41,8 @@
 }
 
 /// What is believed of each target of a service, whether it may be chosen or not.
-auto survey(const target_table& table, const choice_query& query,
-            const std::vector<target*>& members, time_point now) -> std::vector<candidate>
+auto survey(const target_table& table, const choice_query& query, std::span<target* const> members,
+            time_point now) -> std::vector<candidate>
 {
     auto surveyed = std::vector<candidate>{};
     surveyed.reserve(members.size());
@@ -110,7 +122,7 @@
 
 /// Finds the first target in rendezvous order, except the chosen one, from which the prefix can be
 /// fetched.
-auto find_alternate_holder(const std::vector<target*>& members, const choice_query& query,
+auto find_alternate_holder(std::span<target* const> members, const choice_query& query,
                            const target* chosen, time_point now) -> const target*
 {
     const target* holder = nullptr;
@@ -236,24 +248,47 @@
     return candidates;
 }
 
-} // namespace
-
-auto can_export_cache(const target& source, time_point now) -> bool
+/// Targets of a large service at which a choice looks: an even sample, at another offset for each
+/// random number, and the first holders of the prompt.
+auto sample_targets(const std::vector<target*>& members, const choice_query& query)
+    -> std::vector<target*>
 {
-    return source.listing == listing_state::listed && now >= source.backoff_until &&
-           !source.unreachable;
+    auto sample = std::vector<target*>{};
+    sample.reserve(max_surveyed + max_holders);
+    const auto size = members.size();
+    const auto shifted = query.random * offset_scale;
+    const auto offset =
+        static_cast<std::size_t>((shifted - std::floor(shifted)) * static_cast<double>(size));
+    for (std::size_t index = 0; index < max_surveyed; ++index) {
+        sample.push_back(members[(offset + index * size / max_surveyed) % size]);
+    }
+    if (query.prefix_hash == 0) {
+        return sample;
+    }
+    using hashed = std::pair<std::uint64_t, target*>;
+    auto first = std::array<hashed, max_holders>{};
+    for (auto* one : members) {
+        const auto hash = hash64(one->published.id, query.prefix_hash);
+        if (hash > first.front().first) {
+            std::ranges::pop_heap(first, std::greater<>{});
+            first.back() = {hash, one};
+            std::ranges::push_heap(first, std::greater<>{});
+        }
+    }
+    for (const auto& [hash, one] : first) {
+        if (one != nullptr && std::ranges::find(sample, one) == sample.end()) {
+            sample.push_back(one);
+        }
+    }
+    return sample;
 }
 
-auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
-                   time_point now) -> target_choice
+auto choose_among(const target_table& table, const choice_query& query,
+                  const choice_weights& weights, std::span<target* const> members, time_point now)
+    -> target_choice
 {
     auto choice = target_choice{};
-    const auto members = table.by_service.find(std::string{query.service});
-    if (members == table.by_service.end()) {
-        choice.reason = no_target_reason::service_empty;
-        return choice;
-    }
-    const auto surveyed = survey(table, query, members->second, now);
+    const auto surveyed = survey(table, query, members, now);
     auto candidates = list_candidates(table, query, surveyed, choice, now, is_eligible);
     if (candidates.empty()) {
         candidates = list_candidates(table, query, surveyed, choice, now, is_last_resort);
@@ -281,12 +316,41 @@
         choice.is_holder = choice.chosen == holder;
         choice.over_bound = exceeds_load_bound(choice.load, choice.mean_load, weights);
         if (query.prefix_hash != 0) {
-            choice.alternate_holder =
-                find_alternate_holder(members->second, query, choice.chosen, now);
+            choice.alternate_holder = find_alternate_holder(members, query, choice.chosen, now);
         }
         choice.same_zone = choice.chosen->published.zone == table.settings.zone;
     }
     return choice;
 }
 
+} // namespace
+
+auto can_export_cache(const target& source, time_point now) -> bool
+{
+    return source.listing == listing_state::listed && now >= source.backoff_until &&
+           !source.unreachable;
+}
+
+auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
+                   time_point now) -> target_choice
+{
+    const auto members = table.by_service.find(std::string{query.service});
+    if (members == table.by_service.end()) {
+        auto choice = target_choice{};
+        choice.reason = no_target_reason::service_empty;
+        return choice;
+    }
+    if (query.even_load && members->second.size() > max_surveyed) {
+        const auto sample = sample_targets(members->second, query);
+        const auto choice = choose_among(table, query, weights, sample, now);
+        const auto usual = choice.chosen != nullptr && !choice.over_bound &&
+                           now >= choice.chosen->backoff_until &&
+                           is_eligible(table, *choice.chosen, now);
+        if (usual) {
+            return choice;
+        }
+    }
+    return choose_among(table, query, weights, members->second, now);
+}
+
 } // namespace cyclamenpost
