Leave silent targets early, and record the steps of a start

Cause: a repeatable request leaves a silent target after twice its objective, at least 1 s, so its answer is always late. The line 'started' and gauges show the steps of a start.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -97,6 +97,7 @@
     std::optional<time_point> first_contact_;
     std::uint64_t announced_revision_ = 0;
     bool announced_ready_ = false;
+    bool logged_start_ = false;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/entry/fleet_view.hpp
+++ b/include/cyclamenpost/entry/fleet_view.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cyclamenpost/entry/entry_settings.hpp"
+#include "cyclamenpost/entry/start_steps.hpp"
 #include "cyclamenpost/limits/crash_evidence.hpp"
 #include "cyclamenpost/limits/retries.hpp"
 #include "cyclamenpost/routing/route_table.hpp"
@@ -42,6 +43,8 @@
     crash_evidence crashes;
     /// Times of the graceful shutdown that has begun, if any.
     std::optional<shutdown_plan> stopping;
+    /// Times of the instance's start.
+    start_steps start;
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/limits/retries.hpp
+++ b/include/cyclamenpost/limits/retries.hpp
@@ -54,6 +54,9 @@
 /// Counts one retry or hedge against the budget. Returns false when the budget is spent.
 auto spend_retry(retry_budget& budget, time_point now) -> bool;
 
+/// Retries that the budget allows in all for the requests of the last 10 s.
+auto retries_allowed(const retry_budget& budget, time_point now) -> std::uint32_t;
+
 /// Retries that the budget still allows.
 auto retries_left(const retry_budget& budget, time_point now) -> std::uint32_t;
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -147,6 +147,7 @@
 auto entry_instance::start() -> void
 {
     started_ = monotonic_now();
+    view_.start.begun = started_ - process_age();
     supervisor_.start(supervision_tree());
     hold_timer_ = loop_.call_every(hold_check_period, [this] { check_knowledge(); });
     maintenance_ = loop_.call_every(maintenance_period, [this] { maintain(); });
@@ -162,7 +163,9 @@
 
 auto entry_instance::start_front() -> result<void>
 {
-    return front_.listen(settings_.front_address);
+    BOOST_LEAF_CHECK(front_.listen(settings_.front_address));
+    note_step(view_.start, start_step::listening, monotonic_now());
+    return {};
 }
 
 auto entry_instance::start_directory() -> result<void>
@@ -236,6 +239,9 @@
 {
     auto known = peers_.announced();
     known.listed_store = store_.has_listed();
+    if (known.listed_store) {
+        note_step(view_.start, start_step::first_listing, monotonic_now());
+    }
     view_.up_to_date = view_.up_to_date || knows_enough(known);
     view_.first_listing_expected = !view_.up_to_date && store_.first_listing_in_progress() &&
                                    monotonic_now() - started_ < max_hold_time;
@@ -289,6 +295,7 @@
                {"organisations", std::to_string(table->organisations.size())}});
     front_.set_limits(limits_of(table->limits, settings_.memory_bytes));
     view_.routes = std::make_shared<const route_table>(std::move(*table));
+    note_step(view_.start, start_step::configuration, monotonic_now());
 }
 
 auto entry_instance::apply_target(const std::string& id, const published_item& item, bool lapsing)
@@ -312,6 +319,7 @@
         return;
     }
     upsert_target(view_.targets, *entry, now);
+    note_step(view_.start, start_step::targets, now);
     log_event(log_level::info, "target",
               {{"target", id},
                {"service", entry->service},
@@ -330,6 +338,7 @@
 auto entry_instance::announce_if_ready() -> void
 {
     if (ready() && !std::exchange(announced_ready_, true)) {
+        note_step(view_.start, start_step::ready, monotonic_now());
         log_event(log_level::info, "ready",
                   {{"config", std::to_string(view_.routes->version)},
                    {"targets", std::to_string(view_.targets.targets.size())}});
@@ -343,6 +352,7 @@
     auto ids = peers_.instance_ids();
     if (ids.size() > 1 && !first_contact_) {
         first_contact_ = now;
+        note_step(view_.start, start_step::first_contact, now);
     }
     auto known = member_knowledge{};
     known.since_start = started_ == time_point{} ? duration::zero() : now - started_;
@@ -364,6 +374,10 @@
     check_knowledge();
     store_.set_duty(peers_.duty(), peers_.last_notice());
     purge_removed_targets(view_.targets, now);
+    if (time_to_step(view_.start, start_step::first_answer) &&
+        !std::exchange(logged_start_, true)) {
+        log_start(view_.start);
+    }
 }
 
 auto entry_instance::answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void
@@ -391,6 +405,7 @@
         static_cast<double>(front_.refused_bodies()));
     set("cyclamenpost_caller_connections", "Open connections of callers.",
         static_cast<double>(front_.open_connections()));
+    set_start_gauges(view_.start, metrics_);
     metrics_
         .gauge_of("cyclamenpost_build_info", "Version and source digest of the program; always 1.",
                   {{"version", CYCLAMENPOST_VERSION}, {"build", std::string{build_digest()}}})
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -14,10 +14,6 @@
 // longer would miss the objective, so it is refused with a Retry-After
 constexpr int wait_divisor = 8;
 constexpr duration target_poll_period = std::chrono::milliseconds{20};
-// a repeatable request is sent to another target when the first has not answered within this many
-// latency objectives, since a silent target rarely recovers before the caller's deadline
-constexpr int silence_factor = 2;
-constexpr duration min_silence = std::chrono::milliseconds{1000};
 // events from which on the target has survived the beginning of the answer
 constexpr std::uint64_t events_underway = 2;
 // callers leave a stream after the longest of these: a fixed time, a multiple of the latency
@@ -189,6 +185,8 @@
     hold_bytes(state.buffered, held_bytes, 0);
     streaming_events = false;
     attempt_begun = now;
+    looked_silent = false;
+    note_step(state.view.start, start_step::first_sent, now);
     tried.insert(target_id);
     advance(progress, event_of(request_event_kind::attempt_begun));
     begin_request(state.view.targets, chosen, now);
@@ -224,9 +222,8 @@
         handle(event, "no_connection", target_outcome::unreachable);
         return;
     }
-    attempt_timer =
-        call_later(attempt.connected() ? silence_timeout() : state.settings.connect_timeout,
-                   &forward_job::on_attempt_timeout);
+    attempt_timer = call_later(attempt.connected() ? silence_timeout() : connect_timeout(),
+                               &forward_job::on_attempt_timeout);
 }
 
 /// Address of another target that probably has the prompt cached, when the chosen one probably does
@@ -255,14 +252,19 @@
     const auto waited = monotonic_now() - attempt_begun;
     auto event = event_of(request_event_kind::silent);
     event.overdue = waited >= silence;
+    if (looks_again(event)) {
+        return;
+    }
     if (!event.connected || (event.overdue && progress.repeatable)) {
         add_retry_facts(event);
     }
     attempt_timer =
         call_later(waited < silence ? silence - waited : silence, &forward_job::on_attempt_timeout);
-    const auto cause = event.connected ? "silent"
-                       : event.sent    ? "connection_gone"
-                                       : "connect_timeout";
+    const auto early = event.connected && waited < longest_silence() && note_early_leave(event);
+    const auto cause = early             ? "silent_early"
+                       : event.connected ? "silent"
+                       : event.sent      ? "connection_gone"
+                                         : "connect_timeout";
     handle(event, cause, event.sent ? target_outcome::failed : target_outcome::unreachable);
 }
 
@@ -354,6 +356,7 @@
     attempt_timer = call_later(stall_timeout(), &forward_job::watch_progress);
     answer = state.codec.decode_answer(head);
     answer_head = head;
+    note_first_byte();
     const auto found = state.view.targets.targets.find(target_id);
     if (found != state.view.targets.targets.end() && head.status != misdirected) {
         found->second.answered_at = first_byte_at;
@@ -529,12 +532,6 @@
     return query;
 }
 
-/// Time after which a target that has not answered counts as silent.
-auto forward_job::silence_timeout() const -> duration
-{
-    return std::max<duration>(matched_route->latency_objective * silence_factor, min_silence);
-}
-
 auto forward_job::stall_timeout() const -> duration
 {
     const auto patience =
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -14,6 +14,7 @@
 #include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
 #include "cyclamenpost/routing/request_steps.hpp"
+#include "cyclamenpost/routing/silence.hpp"
 
 namespace cyclamenpost {
 
@@ -36,6 +37,8 @@
     std::vector<std::shared_ptr<server_exchange>> held;
     std::function<void(const target_crash&)> report_crash;
     line_sampler sampler;
+    /// Times to the first byte of answered attempts, for early retries.
+    answer_time_table answer_times;
 };
 
 namespace detail {
@@ -91,6 +94,8 @@
     bool answer_underway = false;
     /// The answer was found stalled once; it counts as stalled if the next look finds no progress.
     bool looked_stalled = false;
+    /// The attempt was found silent once; it is left if the next look finds nothing received.
+    bool looked_silent = false;
 
     // all attempts
     /// Ids of the targets that have been tried.
@@ -99,6 +104,8 @@
     event_filter events;
     /// Bytes that this request has in `state.buffered`.
     std::size_t held_bytes = 0;
+    /// The request has left a target early, so its other attempts have the longest limit.
+    bool left_early = false;
     bool finished = false;
     /// Reading from the target is paused until the caller has received what is buffered.
     bool paused = false;
@@ -168,7 +175,19 @@
     /// Records the outcome and ends the job.
     auto finish(int status, std::string_view outcome_name, std::string_view cause) -> void;
     auto query_targets() const -> choice_query;
+    /// Time after which a target that has not answered counts as silent.
     auto silence_timeout() const -> duration;
+    /// The same without early retries.
+    auto longest_silence() const -> duration;
+    /// Time limit for establishing a connection.
+    auto connect_timeout() const -> duration;
+    /// Whether an attempt that would be left is looked at once more after a short time.
+    auto looks_again(const request_event& event) -> bool;
+    /// Records that the request leaves its target early. Returns whether it does.
+    auto note_early_leave(const request_event& event) -> bool;
+    /// Records the time to the first byte of a successful answer.
+    auto note_first_byte() -> void;
+    auto prompt_tokens() const -> std::uint64_t;
     auto stall_timeout() const -> duration;
     /// Cancels the attempt because its answer cannot be used, and takes the next step.
     auto break_off(std::string_view cause) -> void;
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -137,6 +137,9 @@
     const auto now = monotonic_now();
     constexpr auto first_failure = 300;
     const auto served = outcome_name == "answered" && status < first_failure;
+    if (served) {
+        note_step(state.view.start, start_step::first_answer, now);
+    }
     if (!served || sample_line(state.sampler, now)) {
         log_outcome(status, outcome_name, cause);
     }
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -91,6 +91,7 @@
           {},
           {},
           {},
+          {},
           {}})
 {}
 
--- a/src/limits/retries.cpp
+++ b/src/limits/retries.cpp
@@ -102,20 +102,28 @@
     ++bucket_at(budget, now).first_attempts;
 }
 
-auto retries_left(const retry_budget& budget, time_point now) -> std::uint32_t
+auto retries_allowed(const retry_budget& budget, time_point now) -> std::uint32_t
 {
     const auto second = second_of(now);
     auto first_attempts = std::uint64_t{0};
-    auto retries = std::uint64_t{0};
     for (const auto& bucket : budget.buckets) {
-        const auto age = age_in_seconds(bucket, second);
-        first_attempts += age < window_length ? bucket.first_attempts : 0;
-        retries += age <= window_length ? bucket.retries : 0;
+        first_attempts +=
+            age_in_seconds(bucket, second) < window_length ? bucket.first_attempts : 0;
     }
     const auto allowed = budget.settings.ratio * static_cast<double>(first_attempts) +
                          budget.settings.min_per_second * static_cast<double>(window_length);
-    const auto left = std::floor(allowed) - static_cast<double>(retries);
-    return left <= 0.0 ? 0 : static_cast<std::uint32_t>(left);
+    return static_cast<std::uint32_t>(std::max(std::floor(allowed), 0.0));
+}
+
+auto retries_left(const retry_budget& budget, time_point now) -> std::uint32_t
+{
+    const auto second = second_of(now);
+    auto retries = std::uint64_t{0};
+    for (const auto& bucket : budget.buckets) {
+        retries += age_in_seconds(bucket, second) <= window_length ? bucket.retries : 0;
+    }
+    const auto allowed = retries_allowed(budget, now);
+    return retries >= allowed ? 0 : static_cast<std::uint32_t>(allowed - retries);
 }
 
 auto spend_retry(retry_budget& budget, time_point now) -> bool
