Bound early retries that wait for an answer, and test and describe them

Change: early retries without an answer are bounded, none is made where sound targets need the whole objective, and a slow second answer counts for the first target too.

--- a/include/cyclamenpost/routing/silence.hpp
+++ b/include/cyclamenpost/routing/silence.hpp
@@ -22,7 +22,7 @@
 /// Recent times to the first byte of answered attempts. Counts halve with time; the bounds of the
 /// buckets grow by a fixed factor.
 struct answer_times {
-    static constexpr std::size_t bucket_count = 36;
+    static constexpr std::size_t bucket_count = 72;
     std::array<double, bucket_count> buckets{};
     /// Sum of all counts.
     double weight = 0;
@@ -41,6 +41,8 @@
 /// Times to the first byte of one service, by size of the prompt.
 struct service_answer_times {
     std::array<answer_times, 3> by_size;
+    /// Requests that have left a target early and have no answer since.
+    std::uint32_t unanswered = 0;
 };
 
 /// Times to the first byte by service.
@@ -75,6 +77,8 @@
     /// Retries that the service's budget allows in all, and those that are left.
     std::uint32_t retries_allowed = 0;
     std::uint32_t retries_left = 0;
+    /// Requests of the service that have left a target early and have no answer since.
+    std::uint32_t unanswered = 0;
 };
 
 /// Time after which an attempt that has received nothing is overdue. Load pattern: a quarter of the
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -258,8 +258,7 @@
     if (!event.connected || (event.overdue && progress.repeatable)) {
         add_retry_facts(event);
     }
-    attempt_timer =
-        call_later(waited < silence ? silence - waited : silence, &forward_job::on_attempt_timeout);
+    attempt_timer = call_later(next_look(silence, waited), &forward_job::on_attempt_timeout);
     const auto early = event.connected && waited < longest_silence() && note_early_leave(event);
     const auto cause = early             ? "silent_early"
                        : event.connected ? "silent"
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -106,6 +106,10 @@
     std::size_t held_bytes = 0;
     /// The request has left a target early, so its other attempts have the longest limit.
     bool left_early = false;
+    /// Time for which it had waited there.
+    duration left_after{};
+    /// The request counts among those that have left a target early and have no answer since.
+    bool counts_unanswered = false;
     bool finished = false;
     /// Reading from the target is paused until the caller has received what is buffered.
     bool paused = false;
@@ -187,6 +191,10 @@
     auto note_early_leave(const request_event& event) -> bool;
     /// Records the time to the first byte of a successful answer.
     auto note_first_byte() -> void;
+    /// Takes the request out of the count of those that wait after they have left a target early.
+    auto settle_early_leave() -> void;
+    /// Delay until the next look at an attempt that has been silent for `waited`.
+    auto next_look(duration silence, duration waited) const -> duration;
     auto prompt_tokens() const -> std::uint64_t;
     auto stall_timeout() const -> duration;
     /// Cancels the attempt because its answer cannot be used, and takes the next step.
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -149,6 +149,7 @@
     deadline_timer.reset();
     attempt_timer.reset();
     wait_timer.reset();
+    settle_early_leave();
     attempt.cancel();
     hold_bytes(state.buffered, held_bytes, 0);
     state.jobs.erase(shared_from_this());
--- a/src/entry/forward_job_silence.cpp
+++ b/src/entry/forward_job_silence.cpp
@@ -15,6 +15,8 @@
 constexpr duration min_silence = std::chrono::milliseconds{1000};
 // second look at a silent attempt: input that waited while this process was paused is read first
 constexpr duration second_look_delay = std::chrono::milliseconds{10};
+// what allows an early retry may change while the attempt is silent
+constexpr duration look_period = std::chrono::milliseconds{50};
 constexpr auto success_class = 2;
 
 } // namespace
@@ -51,6 +53,7 @@
         input.warming_up = is_cold(state.view.targets, found->second, now);
     }
     input.left_before = left_early;
+    input.unanswered = state.answer_times[service->name].unanswered;
     const auto& budget = state.view.retry_budgets[service->name];
     input.retries_allowed = retries_allowed(budget, now);
     input.retries_left = retries_left(budget, now);
@@ -97,17 +100,42 @@
                     {{"service", service->name}})
         .add();
     left_early = true;
+    left_after = monotonic_now() - attempt_begun;
+    counts_unanswered = true;
+    ++state.answer_times[service->name].unanswered;
     return true;
 }
 
+auto forward_job::settle_early_leave() -> void
+{
+    if (std::exchange(counts_unanswered, false)) {
+        --state.answer_times[service->name].unanswered;
+    }
+}
+
+auto forward_job::next_look(duration silence, duration waited) const -> duration
+{
+    if (waited >= silence) {
+        return silence;
+    }
+    return state.view.options.early_retry ? std::min<duration>(silence - waited, look_period)
+                                          : silence - waited;
+}
+
 auto forward_job::note_first_byte() -> void
 {
+    settle_early_leave();
     if (!state.view.options.early_retry || service == nullptr ||
         answer_head.status / 100 != success_class) {
         return;
     }
-    record_answer_time(state.answer_times, service->name, prompt_size_of(prompt_tokens()),
-                       first_byte_at - attempt_begun, first_byte_at);
+    const auto taken = first_byte_at - attempt_begun;
+    const auto size = prompt_size_of(prompt_tokens());
+    record_answer_time(state.answer_times, service->name, size, taken, first_byte_at);
+    if (left_early && taken > left_after) {
+        // the first target was probably no slower than this one, so its time counts as well
+        record_answer_time(state.answer_times, service->name, size, taken, first_byte_at);
+    }
     if (left_early) {
         const auto in_time = first_byte_at - arrived <= matched_route->latency_objective;
         state.metrics
--- a/src/routing/silence.cpp
+++ b/src/routing/silence.cpp
@@ -11,10 +11,9 @@
 constexpr std::uint64_t medium_prompt_tokens = 2000;
 constexpr std::uint64_t large_prompt_tokens = 8000;
 
-// buckets from 10 ms to 4.3 s, each a quarter of an octave; coarser ones would add more to a limit
-// than its margin
+// buckets from 10 ms to 4.7 s, so narrow that rounding up adds at most a tenth to a limit
 constexpr double first_bound_seconds = 0.01;
-constexpr double buckets_per_octave = 4;
+constexpr double buckets_per_octave = 8;
 
 // troubles last some seconds to a minute, and an instance may see a request of a kind only every
 // second
@@ -30,6 +29,9 @@
 // the other half is left for the second target's answer
 constexpr int objective_parts = 2;
 constexpr int patience_factor = 2;
+// early retries that may be without an answer at a time: one, and one more for this many that the
+// budget allows in its 10 s; when targets are lost, most are answered within 100 ms
+constexpr std::uint32_t retries_per_unanswered = 8;
 
 // round trips take less than 10 ms, and a lost SYN is repeated only after a second; the lower bound
 // is above the 100 ms for which this process may not run
@@ -131,8 +133,11 @@
 
 auto early_limit(const silence_input& input) -> duration
 {
-    const auto may_leave = input.usual && !input.left_before &&
-                           input.retries_left > input.retries_allowed / 2 && input.retries_left > 0;
+    const auto within_budget = input.retries_left > input.retries_allowed / 2 &&
+                               input.unanswered <= input.retries_allowed / retries_per_unanswered;
+    // where sound targets need the whole objective, no retry is in time either
+    const auto helps = input.usual && *input.usual < input.objective && !input.left_before;
+    const auto may_leave = helps && within_budget;
     if (!may_leave) {
         return input.longest;
     }
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -205,6 +205,31 @@
     CHECK(silent.running_requests() == 0);
 }
 
+TEST_CASE_FIXTURE(one_instance, "forwarder: with early retries an idempotent request leaves a "
+                                "silent target before its objective has passed")
+{
+    settings[0].options.early_retry = true;
+    instances[0]->reload(settings[0]);
+    // without recent answers the limit would be the one without early retries
+    for (auto count = 0; count < 20; ++count) {
+        REQUIRE(ask("/read/1").head.status == 200);
+    }
+    app_1.set_mode(target_mode::mute);
+    app_2.set_mode(target_mode::mute);
+    auto call = caller_call{};
+    send(call, "/read/2", 0, "key-1", "left");
+    wait([&] { return app_1.running_requests() + app_2.running_requests() == 1; });
+    auto& silent = app_1.running_requests() == 1 ? app_1 : app_2;
+    (&silent == &app_1 ? app_2 : app_1).set_mode(target_mode::normal);
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 200);
+    CHECK(runs_of("left") == 2);
+    wait([&] { return silent.running_requests() == 0; });
+    const auto metrics = send_get(settings[0].metrics_address, "/metrics").body;
+    CHECK(metrics.find("cyclamenpost_early_retries_total{service=\"app\"} 1") != std::string::npos);
+    CHECK(metrics.find("cyclamenpost_start_seconds{step=\"first_answer\"}") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(one_instance, "forwarder: a non-idempotent request at a silent target gets 504")
 {
     set_apps(target_mode::mute);
