--- a/tests/unit-silence.cpp
+++ b/tests/unit-silence.cpp
@@ -75,7 +75,7 @@
         events.emplace(requests[index].arrived, index);
     }
     auto result = replay_result{};
-    const auto note = [&result](const request& job, double& count) {
+    const auto note = [](const request& job, double& count) {
         count += job.arrived >= at(seconds{20}) && job.arrived < at(seconds{30}) ? 1 : 0;
     };
     while (!events.empty()) {
