--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -200,6 +200,9 @@
     const auto now = monotonic_now();
     constexpr auto first_failure = 300;
     const auto served = outcome_name == "answered" && status < first_failure;
+    if (served) {
+        note_step(state.view.start, start_step::first_answer, now);
+    }
     if (!served || sample_line(state.sampler, now)) {
         log_outcome(status, outcome_name, cause);
     }
@@ -209,6 +212,7 @@
     deadline_timer.reset();
     attempt_timer.reset();
     wait_timer.reset();
+    settle_early_leave();
     attempt.cancel();
     hold_bytes(state.buffered, held_bytes, 0);
     state.jobs.erase(shared_from_this());
