--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -63,6 +63,9 @@
     /// become current or can no longer be expected to become so soon.
     auto release_held() -> void;
 
+    /// Answers the held requests whose time limit has passed, with `traffic_options::admission`.
+    auto reject_overdue_held() -> void;
+
     /// Limits the requests in progress to the time that a shutdown leaves them.
     auto limit_to_shutdown() -> void;
 
--- a/include/cyclamenpost/limits/limits.hpp
+++ b/include/cyclamenpost/limits/limits.hpp
@@ -58,6 +58,9 @@
     std::uint64_t quantum = 4;
     /// Share of organisations that the operator text does not name.
     organisation_share default_share;
+    /// Within an organisation and class, work with the earliest deadline starts first; otherwise
+    /// the oldest does.
+    bool by_deadline = false;
 };
 
 namespace detail {
@@ -118,6 +121,12 @@
 /// the others. Refused when that is the organisation of the new work.
 auto enqueue_work(fair_queue& queue, queued_work work, time_point now) -> enqueue_decision;
 
+/// Removes the newest work of the organisation whose queue is longest relative to its weight, to
+/// make room for work of `newcomer`, unless that organisation's queue would be the longest itself;
+/// without a newcomer in any case. The work did not run.
+auto displace_work(fair_queue& queue, const std::optional<std::string>& newcomer)
+    -> std::optional<queued_work>;
+
 /// Returns whether there is capacity for this work now.
 using capacity_check = std::function<bool(const queued_work&)>;
 
--- a/include/cyclamenpost/routing/request_steps.hpp
+++ b/include/cyclamenpost/routing/request_steps.hpp
@@ -25,6 +25,8 @@
     std::uint32_t unsent = 0;
     /// Attempts of which the target said that it had not executed the request.
     std::uint32_t disclaimed = 0;
+    /// Pauses after which the request was to be sent to a target that had rejected it.
+    std::uint32_t pauses = 0;
     /// An attempt is in progress.
     bool attempting = false;
     /// The caller has received the head of an answer.
@@ -90,6 +92,9 @@
     bool target_available = false;
     /// The service's retry budget allows another attempt.
     bool retry_allowed = false;
+    /// A target that rejected the request is expected to have room in time for an answer within the
+    /// objective.
+    bool room_expected = false;
 };
 
 /// What the driver has to do after an event.
@@ -127,6 +132,9 @@
     std::optional<attempt_end> attempt_ended;
     /// The next attempt is a repeat of one that may have run, which the retry budget pays for.
     bool spends_retry = false;
+    /// With `try_target`: targets that rejected the request need a pause first, and may then be
+    /// tried again.
+    bool after_pause = false;
 };
 
 /// Advances a request by one event. Whether it may have run follows only from what was sent and
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -243,6 +243,9 @@
         hold_timer_.reset();
         forwarder_.release_held();
     }
+    else {
+        forwarder_.reject_overdue_held();
+    }
     announce_if_ready();
 }
 
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -10,10 +10,6 @@
 
 constexpr auto misdirected = 421;
 
-// a request waits for an eligible target for this fraction of its latency objective; one that waits
-// longer would miss the objective, so it is refused with a Retry-After
-constexpr int wait_divisor = 8;
-constexpr duration target_poll_period = std::chrono::milliseconds{20};
 // a repeatable request is sent to another target when the first has not answered within this many
 // latency objectives, since a silent target rarely recovers before the caller's deadline
 constexpr int silence_factor = 2;
@@ -109,7 +105,7 @@
 
 auto forward_job::try_next() -> void
 {
-    if (stop_if_blocked()) {
+    if (stop_if_blocked() || wait_behind_others()) {
         return;
     }
     auto query = query_targets();
@@ -123,27 +119,6 @@
     send_to(choice);
 }
 
-auto forward_job::wait_for_target(const target_choice& choice) -> void
-{
-    const auto now = monotonic_now();
-    const auto wait_end = arrived + matched_route->latency_objective / wait_divisor;
-    // a cold target has quota again within a second
-    const auto rests_longer = choice.reason == no_target_reason::all_resting &&
-                              choice.cold_without_quota == 0 &&
-                              choice.first_rest_end.value_or(now) > wait_end;
-    if (now > wait_end || rests_longer || choice.reason == no_target_reason::all_tried) {
-        auto retry_after = std::optional<duration>{};
-        if (choice.first_rest_end && *choice.first_rest_end > now) {
-            retry_after = retry_after_rest(*choice.first_rest_end - now, time_left(), draw());
-        }
-        handle(event_of(request_event_kind::no_target),
-               name_in(no_target_reason_names, choice.reason), target_outcome::cancelled,
-               retry_after);
-        return;
-    }
-    wait_timer = call_later(target_poll_period, &forward_job::try_next);
-}
-
 auto forward_job::send_to(const target_choice& choice) -> void
 {
     const auto now = monotonic_now();
@@ -442,6 +417,9 @@
     }
     auto event = event_of(request_event_kind::answer_complete);
     event.verdict = verdict.end;
+    if (verdict.health == target_outcome::rejected && verdict.end == attempt_end::not_executed) {
+        note_rejection();
+    }
     if (verdict.end != attempt_end::answered) {
         add_retry_facts(event);
     }
@@ -510,6 +488,7 @@
     if (health == target_outcome::succeeded && service != nullptr) {
         record_request_time(state.view.targets, service->name, monotonic_now() - attempt_begun);
     }
+    record_pressure(health);
     const auto found = state.view.targets.targets.find(target_id);
     if (found != state.view.targets.targets.end()) {
         end_request(state.view.targets, found->second, health,
@@ -564,6 +543,7 @@
     event.target_available = has_untried_target();
     event.retry_allowed =
         retries_left(state.view.retry_budgets[service->name], monotonic_now()) > 0;
+    event.room_expected = room_expected();
 }
 
 auto forward_job::record_attempt(const request_step& step, std::string_view cause) -> void
@@ -609,9 +589,16 @@
     case request_action::wait:
         return;
     case request_action::try_target:
+        if (step.after_pause) {
+            pause_for_room();
+            return;
+        }
         try_next();
         return;
     case request_action::pass_answer:
+        if (refuse_for_target(*step.attempt_ended, cause)) {
+            return;
+        }
         pass_answer(*step.attempt_ended);
         return;
     case request_action::end_stream:
@@ -619,8 +606,8 @@
         finish(answer_head.status, "answered", cause);
         return;
     case request_action::refuse:
-        send_local_reply(service_unavailable,
-                         retry_after.value_or(retry_after_delay(time_left(), draw())), cause);
+        send_local_reply(service_unavailable, retry_after ? *retry_after : refusal_delay(cause),
+                         cause);
         return;
     case request_action::give_up:
         give_up(event.kind == request_event_kind::time_over ? gateway_timeout : bad_gateway, cause);
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -6,10 +6,13 @@
 #include <random>
 #include <set>
 #include <string>
+#include <type_traits>
+#include <unordered_map>
 #include <vector>
 
 #include "cyclamenpost/core/log_buffer.hpp"
 #include "cyclamenpost/entry/forwarder.hpp"
+#include "cyclamenpost/limits/admission.hpp"
 #include "cyclamenpost/limits/byte_budget.hpp"
 #include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
@@ -36,6 +39,16 @@
     std::vector<std::shared_ptr<server_exchange>> held;
     std::function<void(const target_crash&)> report_crash;
     line_sampler sampler;
+    /// What was seen of each service's capacity; kept with `traffic_options::admission`.
+    std::map<std::string, service_pressure, std::less<>> pressures = {};
+    /// Requests that wait for a usable target, and their jobs by the ids of the queue.
+    admission_queue waiting = {};
+    std::unordered_map<std::uint64_t, detail::forward_job*> waiting_jobs = {};
+    std::uint64_t next_waiting_id = 1;
+    /// Requests that pause before they are sent to targets that rejected them, and their bytes.
+    std::size_t pausing = 0;
+    std::size_t pausing_bytes = 0;
+    timer waiting_timer = {};
 };
 
 namespace detail {
@@ -107,6 +120,16 @@
     timer wait_timer;
     time_point first_byte_at{};
 
+    // with `traffic_options::admission`
+    /// Targets that rejected the request since its last pause.
+    std::set<std::string> rejected_by;
+    /// Id in `state.waiting`, 0 when not waiting there.
+    std::uint64_t waiting_id = 0;
+    time_point waiting_since{};
+    bool pausing = false;
+    /// It is the request's turn, so it does not wait behind others.
+    bool taken_from_queue = false;
+
     explicit forward_job(forwarder::state& owner) : state(owner) {}
 
     /// Starts the deadline and the first attempt.
@@ -118,6 +141,36 @@
     auto send_to(const target_choice& choice) -> void;
     /// Chooses again after a short time, or refuses the request.
     auto wait_for_target(const target_choice& choice) -> void;
+    /// Waits in the order of `admission_queue`, or refuses the request if that is of no use.
+    auto wait_in_order(const target_choice& choice) -> void;
+    /// Joins the requests that wait for the same service, so that a newcomer does not pass them.
+    /// Returns false when there are none.
+    auto wait_behind_others() -> bool;
+    /// Joins the queue. The request is rejected if it has no place there.
+    auto enter_waiting(std::string_view reason) -> void;
+    /// Ends the wait in the queue or the pause, and records it as ended by `end`.
+    auto leave_waiting(std::string_view end) -> void;
+    /// Sends the request after it was taken from the queue.
+    auto send_from_queue() -> void;
+    /// Refuses a request that waits or would have to.
+    auto reject_waiting(admission_rule rule) -> void;
+    /// Waits until targets that rejected the request are expected to have room.
+    auto pause_for_room() -> void;
+    auto on_pause_end() -> void;
+    auto room_expected() const -> bool;
+    /// Last moment at which an attempt may begin to be answered within the objective.
+    auto latest_start() const -> time_point;
+    auto remaining() const -> remaining_time;
+    auto capacity() const -> capacity_facts;
+    /// Records the time that a successful attempt took.
+    auto record_pressure(target_outcome health) -> void;
+    /// Records that the target of the attempt rejected the request.
+    auto note_rejection() -> void;
+    /// Delay after which the caller of this refused request should return.
+    auto refusal_delay(std::string_view cause) -> duration;
+    /// Refuses the request in place of the last target that rejected it, whose answer does not say
+    /// when to return. Returns false when the target's answer is to be passed on.
+    auto refuse_for_target(attempt_end end, std::string_view cause) -> bool;
     /// Records what the target says of itself in any answer on its connection, also in a late one
     /// to another request.
     auto note_target_news(int status, const answer_metadata& seen) -> void;
@@ -180,6 +233,13 @@
     auto call_later(duration delay, void (forward_job::*step)()) -> timer;
 };
 
+/// State that all requests of a forwarder share, for functions outside it.
+using shared_state = std::remove_reference_t<decltype(forward_job::state)>;
+
+/// Sends waiting requests for which a target has become usable, in order, and rejects those that
+/// have become too late.
+auto serve_waiting(shared_state& state) -> void;
+
 } // namespace detail
 
 } // namespace cyclamenpost
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -141,6 +141,7 @@
         log_outcome(status, outcome_name, cause);
     }
     record_metrics(outcome_name, cause);
+    leave_waiting(outcome_name);
     exchange->on_cancelled = nullptr;
     exchange->on_sent = nullptr;
     deadline_timer.reset();
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -22,6 +22,8 @@
 // connections, callers' requests and published state
 constexpr std::size_t buffered_memory_divisor = 4;
 constexpr std::size_t answer_memory_divisor = 16;
+// part of the memory for buffered answers that requests waiting for a target may hold as well
+constexpr std::size_t waiting_bytes_divisor = 4;
 // a body is held up to three times: by the caller's connection, by the request that is sent, and by
 // the target's connection until the kernel takes it
 constexpr std::size_t request_memory_divisor = 12;
@@ -92,7 +94,9 @@
           {},
           {},
           {}})
-{}
+{
+    state_->waiting.settings.max_bytes = settings.max_buffered_bytes / waiting_bytes_divisor;
+}
 
 forwarder::~forwarder()
 {
@@ -118,16 +122,6 @@
     exchange.respond(state_->codec.encode_local_reply(status, retry_after), {});
 }
 
-auto forwarder::release_held() -> void
-{
-    for (auto& exchange : std::exchange(state_->held, {})) {
-        const auto caller_left = exchange->answered();
-        if (!caller_left) {
-            handle(std::move(exchange));
-        }
-    }
-}
-
 auto forwarder::running() const -> std::size_t
 {
     return state_->jobs.size() + state_->held.size();
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -127,22 +127,6 @@
     return found == queue.organisations.end() ? 0 : queue_length(found->second);
 }
 
-// removes one queued request for new work; nothing is displaced when the queue of the new work's
-// organisation is the longest
-auto displace_for(fair_queue& queue, const std::string& organisation) -> std::optional<queued_work>
-{
-    const auto* longest = longest_queue(queue);
-    if (longest == nullptr) {
-        return std::nullopt;
-    }
-    const auto length = queue_length(queue.organisations.at(*longest));
-    const auto own = queue_length_of(queue, organisation) + 1;
-    if (length_by_weight(queue, organisation, own) >= length_by_weight(queue, *longest, length)) {
-        return std::nullopt;
-    }
-    return remove_queued(queue, newest_id(queue.organisations.at(*longest)));
-}
-
 auto refuse_work(refusal reason) -> enqueue_decision
 {
     auto decision = enqueue_decision{};
@@ -161,8 +145,14 @@
     const auto organisation = work.organisation;
     queue.expiry.emplace(expires_at(queue.settings, work), id);
     auto& list = list_for(entry, work.kind);
-    list.push_back(std::move(work));
-    queue.by_id.emplace(id, std::pair{organisation, std::prev(list.end())});
+    const auto position =
+        queue.settings.by_deadline && work.deadline
+            ? std::find_if(list.begin(), list.end(),
+                           [&](const queued_work& other) {
+                               return !other.deadline || *other.deadline > *work.deadline;
+                           })
+            : list.end();
+    queue.by_id.emplace(id, std::pair{organisation, list.insert(position, std::move(work))});
 }
 
 // first request of the organisation that fits, interactive ones before summaries
@@ -292,7 +282,7 @@
     }
     auto decision = enqueue_decision{};
     if (queue.by_id.size() >= queue.settings.max_queued) {
-        decision.displaced = displace_for(queue, work.organisation);
+        decision.displaced = displace_work(queue, work.organisation);
         if (!decision.displaced) {
             return refuse_work(refusal::queue_full);
         }
@@ -302,6 +292,23 @@
     return decision;
 }
 
+auto displace_work(fair_queue& queue, const std::optional<std::string>& newcomer)
+    -> std::optional<queued_work>
+{
+    const auto* longest = longest_queue(queue);
+    if (longest == nullptr) {
+        return std::nullopt;
+    }
+    const auto length = queue_length(queue.organisations.at(*longest));
+    if (newcomer) {
+        const auto own = queue_length_of(queue, *newcomer) + 1;
+        if (length_by_weight(queue, *newcomer, own) >= length_by_weight(queue, *longest, length)) {
+            return std::nullopt;
+        }
+    }
+    return remove_queued(queue, newest_id(queue.organisations.at(*longest)));
+}
+
 auto start_next_work(fair_queue& queue, const capacity_check& fits, time_point now)
     -> std::optional<queued_work>
 {
--- a/src/routing/request_steps.cpp
+++ b/src/routing/request_steps.cpp
@@ -10,6 +10,8 @@
 constexpr auto too_many_requests = 429;
 constexpr auto server_error = 500;
 constexpr auto service_unavailable = 503;
+// a target that is still full after two pauses is overloaded rather than hit by a burst
+constexpr std::uint32_t max_pauses = 2;
 
 /// Whether callers take the status for a promise that the request has not run and never will.
 auto promises_not_run(int status) -> bool
@@ -34,7 +36,7 @@
 {
     progress.attempting = false;
     progress.ended = true;
-    return {action, {}, false};
+    return {action, {}, false, false};
 }
 
 auto refuse_or_give_up(request_progress& progress) -> request_step
@@ -72,6 +74,17 @@
     return request_action::give_up;
 }
 
+/// Whether the request may be sent again, after a pause, to targets that rejected it. A rejected
+/// attempt is no run.
+auto can_pause(const request_progress& progress, const request_event& event, attempt_end end)
+    -> bool
+{
+    const auto may_run =
+        progress.runs == 0 || (progress.repeatable && progress.runs < progress.max_runs);
+    return end == attempt_end::not_executed && may_run && progress.pauses < max_pauses &&
+           event.room_expected && event.time_left && event.retry_allowed;
+}
+
 /// Records the end of the attempt in progress and decides what follows.
 auto end_attempt(request_progress& progress, const request_event& event, attempt_end end)
     -> request_step
@@ -86,7 +99,11 @@
     if (spends_retry && !event.retry_allowed) {
         next = next_step_without_retry(context);
     }
-    auto step = request_step{action_of(next), end, spends_retry && event.retry_allowed};
+    if (next != next_step::retry && can_pause(progress, event, end)) {
+        ++progress.pauses;
+        return {request_action::try_target, end, true, true};
+    }
+    auto step = request_step{action_of(next), end, spends_retry && event.retry_allowed, false};
     // a complete answer cannot follow the head of another one
     if (step.action == request_action::pass_answer && progress.answer_started) {
         step.action =
--- a/tests/unit-request_steps.cpp
+++ b/tests/unit-request_steps.cpp
@@ -36,6 +36,7 @@
     {
         return std::tuple{progress.attempts,
                           progress.runs,
+                          progress.pauses,
                           progress.attempting,
                           progress.answer_started,
                           progress.ended,
@@ -130,11 +131,12 @@
     {
         event.sent = state.sent;
         event.connected = state.connection == link::open;
-        for (auto facts = 0U; facts < 16; ++facts) {
+        for (auto facts = 0U; facts < 32; ++facts) {
             event.time_left = (facts & 1U) != 0;
             event.target_available = (facts & 2U) != 0;
             event.retry_allowed = (facts & 4U) != 0;
             event.overdue = (facts & 8U) != 0;
+            event.room_expected = (facts & 16U) != 0;
             apply(state, event, depth);
         }
     }
