--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -183,12 +183,12 @@
         return std::nullopt;
     }
     const auto drain_per_second = facts.slots / in_seconds(facts.occupied);
-    // a target that rejects has at least as many requests waiting as it runs
-    const auto at_rejecting =
-        facts.slots * static_cast<double>(facts.rejecting) / static_cast<double>(facts.targets);
-    // callers that were refused within the last second return before or with this one
+    // a target that rejects has at least as many requests waiting as it runs, and the callers that
+    // were refused within the last second come back to it; the other targets have room
+    const auto full_share =
+        static_cast<double>(facts.rejecting) / static_cast<double>(facts.targets);
     const auto returning = std::max(facts.returning_per_second, 0.0);
-    const auto backlog = std::max(at_rejecting, facts.waiting) + returning + 1;
+    const auto backlog = std::max((facts.slots + returning) * full_share, facts.waiting) + 1;
     return std::max(from_seconds(backlog / drain_per_second), min_delay);
 }
 
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -66,6 +66,8 @@
     duration target_heartbeat = std::chrono::milliseconds{1200};
     /// Setting of the instances that are added from now on.
     duration shutdown_grace = std::chrono::seconds{8};
+    /// Setting of the instances that are added from now on.
+    traffic_options options;
     /// Prompt of the requests for quotes.
     std::string prompt = "a1:500,b2:4000,c3:100";
 
@@ -126,6 +128,7 @@
         own.retry_budget_ratio = 0.2;
         own.retry_slack = 50;
         own.shutdown_grace = shutdown_grace;
+        own.options = options;
         instances.push_back(std::make_unique<entry_instance>(loop, platform::make_codec(), own,
                                                              [this](int) { ++stopped_instances; }));
         instances.back()->start();
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -14,8 +14,9 @@
     fakes::fake_target& engine_1 = add_target("engine-1", "engine");
     fakes::fake_target& engine_2 = add_target("engine-2", "engine");
 
-    one_instance()
+    explicit one_instance(traffic_options chosen = {})
     {
+        options = chosen;
         publish(1);
         add_instance();
         wait_ready();
@@ -37,6 +38,36 @@
     }
 };
 
+/// The same with requests that wait in order and are told when to return.
+struct admitting_instance : one_instance {
+    admitting_instance() : one_instance(with_admission()) {}
+
+    static auto with_admission() -> traffic_options
+    {
+        auto chosen = traffic_options{};
+        chosen.admission = true;
+        return chosen;
+    }
+
+    /// Sends a request, and returns when both targets have it and are about to reject it.
+    auto send_to_full_apps(caller_call& call, const std::string& id) -> void
+    {
+        REQUIRE(ask("/book/1").head.status == 200);
+        set_apps(target_mode::full);
+        send(call, "/book/2", 0, "key-1", id);
+        wait([&] {
+            return find_field(app_1.last_request().fields, "X-Attempt-Id") == id &&
+                   find_field(app_2.last_request().fields, "X-Attempt-Id") == id;
+        });
+    }
+
+    auto waiting() -> bool
+    {
+        const auto text = send_get(settings[0].metrics_address, "/metrics").body;
+        return text.find("cyclamenpost_admission_waiting 1\n") != std::string::npos;
+    }
+};
+
 auto whole_stream() -> std::string
 {
     auto text = std::string{};
@@ -351,3 +382,42 @@
     CHECK(max_request_body_bytes(0, 4 * megabyte) == 4 * megabyte);
     CHECK(forwarder_settings_for(0).max_event_bytes <= forwarder_settings_for(0).max_answer_bytes);
 }
+
+// Guards against a refusal while a target has room again within the objective.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a request that all targets rejected runs once one has room")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    set_apps(target_mode::normal);
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 200);
+    CHECK(runs_of("b2") == 1);
+}
+
+// Guards against a caller that is told to return after a share of its patience, or not told at all.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a caller whose request targets rejected is told when to return")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 503);
+    CHECK(runs_of("b2") == 0);
+    REQUIRE(find_field(call.head.fields, "Retry-After").has_value());
+    const auto seconds = std::stod(std::string{*find_field(call.head.fields, "Retry-After")});
+    CHECK(seconds >= 0.02);
+    CHECK(seconds < 0.45);
+}
+
+// Guards against callers that have left and hold their places.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a caller that leaves during a pause frees its place")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    wait([&] { return waiting() || call.ended(); });
+    call.exchange.cancel();
+    wait([&] { return !waiting(); });
+    CHECK(runs_of("b2") == 0);
+}
