Test waiting, held and pausing requests with the fakes and in the model of request_steps

Cause: the waiting functions and the pause had no test beyond one rejected request. Change: cases in unit-forwarder and unit-request_steps; the model also explores room_expected and pauses.

--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -421,3 +421,66 @@
     wait([&] { return !waiting(); });
     CHECK(runs_of("b2") == 0);
 }
+
+// Guards against a request that waits on after a target has become usable, and against one that
+// waits on when no answer within its objective is possible any more.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: waiting requests are sent to a target that appears, or rejected")
+{
+    REQUIRE(ask("/book/1").head.status == 200);
+    const auto listed = [&] {
+        return instances[0]->view().targets.targets.at("app-1").listing == listing_state::listed;
+    };
+    store.remove(app_2.store_key());
+    store.remove(app_1.store_key());
+    wait([&] { return !listed(); });
+    auto first = caller_call{};
+    auto second = caller_call{};
+    send(first, "/book/2", 0, "key-1", "b2");
+    send(second, "/book/3", 0, "key-1", "b3");
+    wait([&] { return first.ended() && second.ended(); });
+    CHECK(first.head.status == 503);
+    CHECK(second.head.status == 503);
+    const auto text = send_get(settings[0].metrics_address, "/metrics").body;
+    CHECK(text.find("cyclamenpost_admission_rejections_total{rule=\"objective_missed\"} 2\n") !=
+          std::string::npos);
+    auto third = caller_call{};
+    send(third, "/book/4", 0, "key-1", "b4");
+    wait([&] { return third.exchange.sent(); });
+    store.put(app_1.store_key(), app_1.store_entry());
+    wait([&] { return third.ended(); });
+    CHECK(third.head.status == 200);
+    CHECK(runs_of("b2") + runs_of("b3") == 0);
+    CHECK(runs_of("b4") == 1);
+}
+
+// Guards against a held caller that hears nothing when its time is over.
+TEST_CASE_FIXTURE(fleet_fixture, "forwarder: a held request whose time is over is answered at once")
+{
+    options.admission = true;
+    publish(1);
+    add_target("app-1", "app");
+    store.set_mode(fakes::store_mode::silent);
+    add_instance();
+    wait([&] { return store.request_count() > 0; });
+    auto request = outgoing_request{};
+    request.address = settings[0].front_address;
+    request.fresh_connection = true;
+    request.head.method = "POST";
+    request.head.target = "/book/1";
+    request.head.fields = {{"Host", "shop.example"},
+                           {"X-Attempt-Id", "short"},
+                           {"X-Deadline-Ms", "60"},
+                           {"X-Api-Key", "key-1"}};
+    auto hurried = caller_call{};
+    begin(hurried, request);
+    auto patient = caller_call{};
+    send(patient, "/book/1", 0, "key-1", "patient");
+    wait([&] { return hurried.ended(); });
+    CHECK(hurried.head.status == 503);
+    CHECK_FALSE(patient.ended());
+    store.answer_late();
+    wait([&] { return patient.ended(); });
+    CHECK(patient.head.status == 200);
+    CHECK(runs_of("short") == 0);
+}
--- a/tests/unit-request_steps.cpp
+++ b/tests/unit-request_steps.cpp
@@ -3,6 +3,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -280,6 +281,15 @@
     return advance(progress, event);
 }
 
+/// Pauses for a target's room whether or not the request may have run before.
+auto advance_pausing(request_progress& progress, const request_event& event) -> request_step
+{
+    const auto runs = event.room_expected ? std::exchange(progress.runs, 0) : 0;
+    const auto step = advance(progress, event);
+    progress.runs += runs;
+    return step;
+}
+
 auto answer_with(int status) -> complete_answer
 {
     auto answer = complete_answer{};
@@ -321,6 +331,33 @@
     }
 }
 
+// Guards against a pause after which a request runs at more targets than its route allows.
+TEST_CASE("request_steps: the model finds a pause that forgets an earlier run")
+{
+    const auto checked = explore(advance_pausing);
+    CHECK(checked.violations.contains("a request was sent to more targets than allowed"));
+}
+
+TEST_CASE("request_steps: a rejected request pauses at most twice, at the cost of a retry each")
+{
+    auto progress = request_progress{};
+    auto event = request_event{};
+    event.verdict = attempt_end::not_executed;
+    event.time_left = true;
+    event.retry_allowed = true;
+    event.room_expected = true;
+    for (auto attempt = 1; attempt <= 3; ++attempt) {
+        event.kind = request_event_kind::attempt_begun;
+        advance(progress, event);
+        event.kind = request_event_kind::answer_complete;
+        const auto step = advance(progress, event);
+        CHECK(step.after_pause == (attempt < 3));
+        CHECK(step.spends_retry == (attempt < 3));
+        CHECK((step.action == request_action::pass_answer) == (attempt == 3));
+    }
+    CHECK(proof_of_refusal(progress) == refusal_proof::disclaimed);
+}
+
 // Guards against a promise read from any refusal: the first target had run the request.
 TEST_CASE(
     "request_steps: a second target's refusal does not speak for a first one that may have run "
