--- a/src/entry/forward_job_waiting.cpp
+++ b/src/entry/forward_job_waiting.cpp
@@ -109,7 +109,9 @@
     if (ids != table.by_service.end()) {
         for (const auto& id : ids->second) {
             const auto& known = table.targets.at(id);
-            if (!is_eligible(table, known, now)) {
+            const auto warming = service->cold_per_second > 0 && is_cold(table, known, now);
+            if (!is_eligible(table, known, now) || warming || known.unreachable ||
+                now < known.backoff_until) {
                 continue;
             }
             const auto estimate = estimate_target(table, known, now);
--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -188,7 +188,10 @@
     const auto full_share =
         static_cast<double>(facts.rejecting) / static_cast<double>(facts.targets);
     const auto returning = std::max(facts.returning_per_second, 0.0);
-    const auto backlog = std::max((facts.slots + returning) * full_share, facts.waiting) + 1;
+    // without rejections the refusals have another cause, which all callers share
+    const auto returning_share = facts.rejecting > 0 ? full_share : 1.0;
+    const auto at_targets = facts.slots * full_share + returning * returning_share;
+    const auto backlog = std::max(at_targets, facts.waiting) + 1;
     return std::max(from_seconds(backlog / drain_per_second), min_delay);
 }
 
