--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -14,8 +14,9 @@
     fakes::fake_target& engine_1 = add_target("engine-1", "engine");
     fakes::fake_target& engine_2 = add_target("engine-2", "engine");
 
-    one_instance()
+    explicit one_instance(traffic_options chosen = {})
     {
+        options = chosen;
         publish(1);
         add_instance();
         wait_ready();
@@ -37,6 +38,36 @@
     }
 };
 
+/// The same with requests that wait in order and are told when to return.
+struct admitting_instance : one_instance {
+    admitting_instance() : one_instance(with_admission()) {}
+
+    static auto with_admission() -> traffic_options
+    {
+        auto chosen = traffic_options{};
+        chosen.admission = true;
+        return chosen;
+    }
+
+    /// Sends a request, and returns when both targets have it and are about to reject it.
+    auto send_to_full_apps(caller_call& call, const std::string& id) -> void
+    {
+        REQUIRE(ask("/book/1").head.status == 200);
+        set_apps(target_mode::full);
+        send(call, "/book/2", 0, "key-1", id);
+        wait([&] {
+            return find_field(app_1.last_request().fields, "X-Attempt-Id") == id &&
+                   find_field(app_2.last_request().fields, "X-Attempt-Id") == id;
+        });
+    }
+
+    auto waiting() -> bool
+    {
+        const auto text = send_get(settings[0].metrics_address, "/metrics").body;
+        return text.find("cyclamenpost_admission_waiting 1\n") != std::string::npos;
+    }
+};
+
 auto whole_stream() -> std::string
 {
     auto text = std::string{};
@@ -376,3 +407,105 @@
     CHECK(max_request_body_bytes(0, 4 * megabyte) == 4 * megabyte);
     CHECK(forwarder_settings_for(0).max_event_bytes <= forwarder_settings_for(0).max_answer_bytes);
 }
+
+// Guards against a refusal while a target has room again within the objective.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a request that all targets rejected runs once one has room")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    set_apps(target_mode::normal);
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 200);
+    CHECK(runs_of("b2") == 1);
+}
+
+// Guards against a caller that is told to return after a share of its patience, or not told at all.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a caller whose request targets rejected is told when to return")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 503);
+    CHECK(runs_of("b2") == 0);
+    REQUIRE(find_field(call.head.fields, "Retry-After").has_value());
+    const auto seconds = std::stod(std::string{*find_field(call.head.fields, "Retry-After")});
+    CHECK(seconds >= 0.02);
+    CHECK(seconds < 0.45);
+}
+
+// Guards against callers that have left and hold their places.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: a caller that leaves during a pause frees its place")
+{
+    auto call = caller_call{};
+    send_to_full_apps(call, "b2");
+    wait([&] { return waiting() || call.ended(); });
+    call.exchange.cancel();
+    wait([&] { return !waiting(); });
+    CHECK(runs_of("b2") == 0);
+}
+
+// Guards against a request that waits on after a target has become usable, and against one that
+// waits on when no answer within its objective is possible any more.
+TEST_CASE_FIXTURE(admitting_instance,
+                  "forwarder: waiting requests are sent to a target that appears, or rejected")
+{
+    REQUIRE(ask("/book/1").head.status == 200);
+    const auto listed = [&] {
+        return instances[0]->view().targets.targets.at("app-1").listing == listing_state::listed;
+    };
+    store.remove(app_2.store_key());
+    store.remove(app_1.store_key());
+    wait([&] { return !listed(); });
+    auto first = caller_call{};
+    auto second = caller_call{};
+    send(first, "/book/2", 0, "key-1", "b2");
+    send(second, "/book/3", 0, "key-1", "b3");
+    wait([&] { return first.ended() && second.ended(); });
+    CHECK(first.head.status == 503);
+    CHECK(second.head.status == 503);
+    const auto text = send_get(settings[0].metrics_address, "/metrics").body;
+    CHECK(text.find("cyclamenpost_admission_rejections_total{rule=\"objective_missed\"} 2\n") !=
+          std::string::npos);
+    auto third = caller_call{};
+    send(third, "/book/4", 0, "key-1", "b4");
+    wait([&] { return third.exchange.sent(); });
+    store.put(app_1.store_key(), app_1.store_entry());
+    wait([&] { return third.ended(); });
+    CHECK(third.head.status == 200);
+    CHECK(runs_of("b2") + runs_of("b3") == 0);
+    CHECK(runs_of("b4") == 1);
+}
+
+// Guards against a held caller that hears nothing when its time is over.
+TEST_CASE_FIXTURE(fleet_fixture, "forwarder: a held request whose time is over is answered at once")
+{
+    options.admission = true;
+    publish(1);
+    add_target("app-1", "app");
+    store.set_mode(fakes::store_mode::silent);
+    add_instance();
+    wait([&] { return store.request_count() > 0; });
+    auto request = outgoing_request{};
+    request.address = settings[0].front_address;
+    request.fresh_connection = true;
+    request.head.method = "POST";
+    request.head.target = "/book/1";
+    request.head.fields = {{"Host", "shop.example"},
+                           {"X-Attempt-Id", "short"},
+                           {"X-Deadline-Ms", "60"},
+                           {"X-Api-Key", "key-1"}};
+    auto hurried = caller_call{};
+    begin(hurried, request);
+    auto patient = caller_call{};
+    send(patient, "/book/1", 0, "key-1", "patient");
+    wait([&] { return hurried.ended(); });
+    CHECK(hurried.head.status == 503);
+    CHECK_FALSE(patient.ended());
+    store.answer_late();
+    wait([&] { return patient.ended(); });
+    CHECK(patient.head.status == 200);
+    CHECK(runs_of("short") == 0);
+}
