--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -108,6 +108,9 @@
 
     /// Starts an instance that joins through the first one and reads the default store or the one
     /// given. Its address for peers is a free one by default.
+    /// Optional parts of the instances added from now on.
+    traffic_options traffic;
+
     auto add_instance(const std::string& zone = "a", const std::string& store_address = {},
                       const std::string& peer_address = {}) -> entry_instance&
     {
@@ -126,6 +129,7 @@
         own.retry_budget_ratio = 0.2;
         own.retry_slack = 50;
         own.shutdown_grace = shutdown_grace;
+        own.options = traffic;
         instances.push_back(std::make_unique<entry_instance>(loop, platform::make_codec(), own,
                                                              [this](int) { ++stopped_instances; }));
         instances.back()->start();
