--- a/src/entry/forward_job_waiting.cpp
+++ b/src/entry/forward_job_waiting.cpp
@@ -107,8 +107,8 @@
     auto usable = std::size_t{0};
     const auto ids = table.by_service.find(service->name);
     if (ids != table.by_service.end()) {
-        for (const auto& id : ids->second) {
-            const auto& known = table.targets.at(id);
+        for (const auto* listed : ids->second) {
+            const auto& known = *listed;
             const auto warming = service->cold_per_second > 0 && is_cold(table, known, now);
             if (!is_eligible(table, known, now) || warming || known.unreachable ||
                 now < known.backoff_until) {
--- a/src/routing/target_estimate.cpp
+++ b/src/routing/target_estimate.cpp
@@ -11,6 +11,10 @@
 // requests that wait end evenly, so the time until a slot is free varies by about half of its mean
 constexpr double queue_deviation = 0.5;
 
+// mean age of a sum when it arrives: each of two or three hops waits for half of a period of 200 ms,
+// and the sender's own number is as old as its last report
+constexpr duration exchange_delay = std::chrono::milliseconds{300};
+
 auto from_seconds(double seconds) -> duration
 {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
@@ -39,7 +43,7 @@
         estimate.requests =
             std::max(estimate.requests, static_cast<double>(fleet_requests_at(candidate, now)));
         estimate.age = shared && now - shared->received_at < max_fleet_age
-                           ? now - shared->received_at
+                           ? now - shared->received_at + exchange_delay
                            : duration::zero();
     }
     estimate.pace = pace_at(table, candidate, now);
