--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -2,6 +2,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 #include "cyclamenpost/core/build_info.hpp"
 #include "cyclamenpost/core/file_watch.hpp"
 #include "cyclamenpost/core/log.hpp"
@@ -19,6 +21,9 @@
 // often
 constexpr auto log_flush_period = std::chrono::milliseconds{100};
 
+constexpr int large_buffer_bytes = 256 * 1024;
+constexpr int kept_heap_bytes = 1024 * 1024;
+
 /// Prints an error before logging has started.
 auto print_error(const error& failure) -> void
 {
@@ -48,6 +53,10 @@
 
 auto serve(const entry_options& options, const entry_settings& settings) -> int
 {
+    // a fixed threshold returns large buffers to the system when they are freed; the default one
+    // rises with them, and what a crowd of callers has used would stay resident
+    mallopt(M_MMAP_THRESHOLD, large_buffer_bytes);
+    mallopt(M_TRIM_THRESHOLD, kept_heap_bytes);
     auto loop = event_loop{settings.max_connections};
     auto status = 0;
     auto instance = entry_instance{loop, platform::make_codec(), settings, [&](int exit_status) {
--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -63,6 +63,8 @@
     /// Takes requests once enough is known since the start.
     auto check_knowledge() -> void;
     auto answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void;
+    /// Memory counted for all connections.
+    auto counted_memory() const -> std::size_t;
     auto answer_readiness_or_directory(const std::shared_ptr<server_exchange>& exchange) -> void;
     auto refresh_members() -> void;
     auto maintain() -> void;
--- a/include/cyclamenpost/entry/forwarder.hpp
+++ b/include/cyclamenpost/entry/forwarder.hpp
@@ -37,6 +37,8 @@
     std::size_t max_held_requests = 256;
     /// Bytes of answers that all requests may buffer together.
     std::size_t max_buffered_bytes = std::size_t{64} << 20U;
+    /// Memory that the connections to targets may hold.
+    std::size_t max_target_bytes = std::size_t{64} << 20U;
 };
 
 /// Buffer limits for a process that may use `memory_bytes`.
@@ -63,6 +65,9 @@
     /// become current or can no longer be expected to become so soon.
     auto release_held() -> void;
 
+    /// Memory that answers and the connections to targets hold.
+    auto held_bytes() const -> std::size_t;
+
     /// Limits the requests in progress to the time that a shutdown leaves them.
     auto limit_to_shutdown() -> void;
 
--- a/include/cyclamenpost/entry/store_reader.hpp
+++ b/include/cyclamenpost/entry/store_reader.hpp
@@ -23,6 +23,12 @@
     /// Limit up to which the timeout grows while the store accepts connections but answers too
     /// late.
     duration max_answer_timeout = std::chrono::milliseconds{1500};
+    /// Largest answer. The store limits a page to about 1 MB of items, and an item to 1 MB, before
+    /// its encoding.
+    std::size_t max_answer_bytes = std::size_t{8} << 20U;
+    /// Largest listing of all pages, far above what targets and configuration of the largest fleet
+    /// take.
+    std::size_t max_listing_bytes = std::size_t{32} << 20U;
 };
 
 /// Callbacks into the instance.
--- a/include/cyclamenpost/transport/event_loop.hpp
+++ b/include/cyclamenpost/transport/event_loop.hpp
@@ -79,6 +79,15 @@
     /// `bus_failed` when the loop cannot adopt the signal descriptor.
     auto watch_signals(std::function<void(int)> on_signal) -> result<void>;
 
+    /// Number of descriptors that may still be opened.
+    auto free_descriptors() const -> std::size_t;
+
+    /// Most descriptors that may be open at once.
+    auto max_descriptors() const -> std::size_t;
+
+    /// Counts descriptors that a transport has opened or, with a negative figure, closed.
+    auto count_descriptor(int change) -> void;
+
     /// The underlying libwebsockets context, for the HTTP modules.
     auto context() const -> lws_context*;
 
--- a/include/cyclamenpost/transport/http1.hpp
+++ b/include/cyclamenpost/transport/http1.hpp
@@ -99,13 +99,23 @@
     /// request.
     auto expect_no_body(bool expected) -> void;
 
-    /// Replaces the limit for the heads of the messages to come, and of the present one.
+    /// Replaces the limit for the heads of the messages to come, and of the present one. The fields
+    /// after a chunked body have the same limit.
     auto set_max_header_bytes(std::size_t limit) -> void;
 
     /// Head of the message being parsed, for the parser's kind of message.
     auto request() -> request_head&;
     auto response() -> response_head&;
 
+    /// Bytes of memory that the head of the message being parsed takes.
+    auto held_bytes() const -> std::size_t;
+
+    /// Drops the head of the message being parsed, which takes no more memory then.
+    auto drop_head() -> void;
+
+    /// Length of the body that the head declares, or nothing if it declares none.
+    auto declared_body_bytes() const -> std::optional<std::uint64_t>;
+
     /// Whether a message has been received in part.
     auto in_message() const -> bool;
     auto failure() const -> parse_failure;
--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -16,7 +16,8 @@
 /// Why an exchange failed: `cut_short` when the peer closed the connection before the response was
 /// complete, `garbled` when the response is not valid HTTP, `head_too_large` and `too_many_skipped`
 /// when the peer sent more than the limit for a response head or for responses that do not belong
-/// to the request, the others as in `close_reason`.
+/// to the request, `out_of_memory` when all connections of the client hold too much, the others as
+/// in `close_reason`.
 enum class exchange_failure {
     refused,
     unreachable,
@@ -24,7 +25,8 @@
     cut_short,
     garbled,
     head_too_large,
-    too_many_skipped
+    too_many_skipped,
+    out_of_memory
 };
 
 inline constexpr std::array exchange_failure_names{
@@ -35,6 +37,7 @@
     enum_name<exchange_failure>{exchange_failure::garbled, "garbled"},
     enum_name<exchange_failure>{exchange_failure::head_too_large, "head_too_large"},
     enum_name<exchange_failure>{exchange_failure::too_many_skipped, "too_many_skipped"},
+    enum_name<exchange_failure>{exchange_failure::out_of_memory, "out_of_memory"},
 };
 
 /// Whose response a response head begins: `own` of the request in progress, `other` of another
@@ -150,6 +153,14 @@
 
     auto counters() const -> const client_counters&;
 
+    /// Limits the memory that all connections hold together: unsent bytes, heads, and a fixed
+    /// amount for each. A request that does not fit fails with `connect_failed` before a byte is
+    /// sent, unless no other one is being sent.
+    auto set_max_held_bytes(std::size_t limit) -> void;
+
+    /// Memory that the connections hold.
+    auto held_bytes() const -> std::size_t;
+
 private:
     std::shared_ptr<detail::client_pool> pool_;
     timer sweep_;
--- a/include/cyclamenpost/transport/http1_server.hpp
+++ b/include/cyclamenpost/transport/http1_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -31,8 +32,40 @@
     /// Time after which a connection is closed whose peer reads none of the bytes sent to it.
     duration write_timeout = std::chrono::seconds{15};
     /// Bytes of request bodies that all connections hold together. A request whose body would
-    /// exceed them is refused with 503; small bodies are always taken.
+    /// exceed them is refused with 503; a quarter more is kept for small bodies.
     std::size_t max_buffered_body_bytes = std::size_t{64} << 20U;
+    /// Memory that all connections hold together: received and unsent bytes, heads, bodies, and a
+    /// fixed amount for each. Above it connections give way as in `choose_for_bytes`.
+    std::size_t max_held_bytes = std::size_t{128} << 20U;
+    /// Descriptors that are kept free by closing connections as in `choose_for_descriptors`. New
+    /// connections are closed if half of them cannot be kept free.
+    std::size_t spare_descriptors = 0;
+};
+
+/// Limit for which a caller was refused or its connection closed. `memory` and `descriptors` are
+/// limits of all connections together, `buffered_bodies` is the one of all bodies.
+enum class caller_limit {
+    header_bytes,
+    header_time,
+    declared_body_bytes,
+    body_bytes,
+    body_time,
+    buffered_bodies,
+    write_time,
+    memory,
+    descriptors
+};
+
+inline constexpr std::array caller_limit_names{
+    enum_name<caller_limit>{caller_limit::header_bytes, "header_bytes"},
+    enum_name<caller_limit>{caller_limit::header_time, "header_time"},
+    enum_name<caller_limit>{caller_limit::declared_body_bytes, "declared_body_bytes"},
+    enum_name<caller_limit>{caller_limit::body_bytes, "body_bytes"},
+    enum_name<caller_limit>{caller_limit::body_time, "body_time"},
+    enum_name<caller_limit>{caller_limit::buffered_bodies, "buffered_bodies"},
+    enum_name<caller_limit>{caller_limit::write_time, "write_time"},
+    enum_name<caller_limit>{caller_limit::memory, "memory"},
+    enum_name<caller_limit>{caller_limit::descriptors, "descriptors"},
 };
 
 /// Time from the first byte of a request within which its head has to be complete, or, once it is,
@@ -85,6 +118,10 @@
     /// Buffered bytes of the response not yet handed to the kernel.
     auto unsent_bytes() const -> std::size_t;
 
+    /// Whether the connections of the server hold more memory than their limit. The owner should
+    /// write no more before the caller has read what is buffered.
+    auto memory_is_short() const -> bool;
+
     /// Whether the response is complete, was aborted or was cancelled by the caller.
     auto answered() const -> bool;
 
@@ -136,6 +173,15 @@
     /// Number of requests that were refused because of the bytes of other requests' bodies.
     auto refused_bodies() const -> std::uint64_t;
 
+    /// Memory that the connections hold.
+    auto held_bytes() const -> std::size_t;
+
+    /// Limit of the memory that the connections hold.
+    auto max_held_bytes() const -> std::size_t;
+
+    /// Number of times that callers reached the limit.
+    auto limited(caller_limit limit) const -> std::uint64_t;
+
 private:
     std::shared_ptr<detail::http1_server_state> state_;
     timer sweep_;
--- a/include/cyclamenpost/transport/tcp.hpp
+++ b/include/cyclamenpost/transport/tcp.hpp
@@ -57,12 +57,16 @@
     /// Replaces the callbacks.
     auto set_handlers(tcp_handlers handlers) -> void;
 
-    /// Sends bytes and buffers those that the kernel does not accept yet.
-    auto send(std::string_view bytes) -> void;
+    /// Sends bytes, and those of `more` behind them, and buffers what the kernel does not accept
+    /// yet.
+    auto send(std::string_view bytes, std::string_view more = {}) -> void;
 
     /// Buffered bytes not yet handed to the kernel.
     auto unsent_bytes() const -> std::size_t;
 
+    /// Memory of the buffer for bytes not yet handed to the kernel.
+    auto held_bytes() const -> std::size_t;
+
     /// Bytes handed to the kernel since the connection was opened.
     auto sent_bytes() const -> std::uint64_t;
 
@@ -75,6 +79,9 @@
     /// Pauses or resumes reading, so that a slow consumer applies back-pressure to the peer.
     auto set_reading(bool enabled) -> void;
 
+    /// Limits the bytes that one call of `on_bytes` delivers.
+    auto set_read_size(std::size_t bytes) -> void;
+
     /// Closes the sending direction; the peer sees the end after the bytes sent so far. Call it
     /// when `unsent_bytes` is 0.
     auto finish_sending() -> void;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -1,9 +1,13 @@
 #include "cyclamenpost/entry/entry_instance.hpp"
 
 #include <algorithm>
+#include <fstream>
+
+#include <unistd.h>
 
 #include "cyclamenpost/core/build_info.hpp"
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/limits/connection_memory.hpp"
 #include "cyclamenpost/routing/fleet_size.hpp"
 
 namespace cyclamenpost {
@@ -24,16 +28,58 @@
 // half of the allowed time to live, since some callers cache a directory answer for three times the
 // time that it states
 constexpr int directory_ttl_divisor = 2;
-
-/// Limits of callers' connections, for a process that may use `memory_bytes`.
-auto limits_of(const request_limits& limits, std::size_t memory_bytes) -> server_limits
+// part of the descriptors that callers leave to targets, store and peers
+constexpr unsigned spare_descriptor_divisor = 8;
+// part of the callers' memory that probes, directory queries and metrics may each take
+constexpr std::size_t side_divisor = 16;
+constexpr std::size_t max_side_body_bytes = 65536;
+// a page has about 1 MB of items and may end with one of 1 MB, a third more in base64
+constexpr std::size_t min_store_answer_bytes = std::size_t{4} << 20U;
+constexpr std::size_t min_store_listing_bytes = std::size_t{16} << 20U;
+
+/// Limits of callers' connections, for a process with these settings.
+auto limits_of(const request_limits& limits, const entry_settings& settings) -> server_limits
 {
     auto chosen = server_limits{limits.max_header_bytes, limits.max_body_bytes,
                                 limits.header_timeout, limits.idle_timeout};
-    chosen.max_buffered_body_bytes = max_request_body_bytes(memory_bytes, limits.max_body_bytes);
+    chosen.max_buffered_body_bytes =
+        max_request_body_bytes(settings.memory_bytes, limits.max_body_bytes);
+    chosen.max_held_bytes = memory_shares_for(settings.memory_bytes, limits.max_body_bytes).callers;
+    chosen.spare_descriptors = settings.max_connections / spare_descriptor_divisor;
     return chosen;
 }
 
+/// Limits of the connections for probes, directory queries and metrics, which have no bodies.
+auto side_limits_of(const entry_settings& settings) -> server_limits
+{
+    auto chosen = server_limits{};
+    chosen.max_body_bytes = max_side_body_bytes;
+    chosen.max_buffered_body_bytes = max_side_body_bytes;
+    chosen.max_held_bytes = memory_shares_for(settings.memory_bytes, 0).callers / side_divisor;
+    return chosen;
+}
+
+/// Limits of what the store sends. One page with an item of the largest size fits.
+auto store_settings_of(const entry_settings& settings) -> store_settings
+{
+    auto chosen = store_settings{settings.store_address};
+    const auto share = memory_shares_for(settings.memory_bytes, 0).store;
+    chosen.max_answer_bytes = std::clamp(share, min_store_answer_bytes, chosen.max_answer_bytes);
+    chosen.max_listing_bytes =
+        std::clamp(share * 2, min_store_listing_bytes, chosen.max_listing_bytes);
+    return chosen;
+}
+
+/// Resident size of this process; 0 if the system does not tell.
+auto resident_bytes() -> std::size_t
+{
+    auto file = std::ifstream{"/proc/self/statm"};
+    auto total = std::size_t{0};
+    auto resident = std::size_t{0};
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 auto whole_milliseconds(duration span) -> std::string
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -74,24 +120,24 @@
               [this] { return store_.available(); }, [this] { return may_have_lapsed(); }}),
       loads_(loop, peers_, view_.targets),
       crashes_(loop, peers_, view_, metrics_, [this] { forwarder_.stop_blocked(); }),
-      store_(loop, codec_, {settings_.store_address}, state_,
+      store_(loop, codec_, store_settings_of(settings_), state_,
              {[this](const changed_keys& keys) { on_changed(keys, may_have_lapsed()); }}),
       forwarder_(loop, codec_, view_, forwarder_settings_for(settings_.memory_bytes), metrics_),
-      front_(loop, limits_of({}, settings_.memory_bytes),
+      front_(loop, limits_of({}, settings_),
              [this](std::shared_ptr<server_exchange> exchange) {
                  forwarder_.handle(std::move(exchange));
              }),
-      ready_(loop, {},
+      ready_(loop, side_limits_of(settings_),
              [this](const std::shared_ptr<server_exchange>& exchange) {
                  answer_readiness_or_directory(exchange);
              }),
-      directory_(loop, {},
+      directory_(loop, side_limits_of(settings_),
                  [this](const std::shared_ptr<server_exchange>& exchange) {
                      answer_readiness_or_directory(exchange);
                  }),
-      metrics_server_(loop, {}, [this](const std::shared_ptr<server_exchange>& exchange) {
-          answer_metrics(exchange);
-      })
+      metrics_server_(
+          loop, side_limits_of(settings_),
+          [this](const std::shared_ptr<server_exchange>& exchange) { answer_metrics(exchange); })
 {
     view_.own_id = settings_.peer_address;
     apply_settings();
@@ -287,7 +333,7 @@
                {"routes", std::to_string(table->routes.size())},
                {"keys_required", table->requires_keys ? "1" : "0"},
                {"organisations", std::to_string(table->organisations.size())}});
-    front_.set_limits(limits_of(table->limits, settings_.memory_bytes));
+    front_.set_limits(limits_of(table->limits, settings_));
     view_.routes = std::make_shared<const route_table>(std::move(*table));
 }
 
@@ -366,6 +412,12 @@
     purge_removed_targets(view_.targets, now);
 }
 
+auto entry_instance::counted_memory() const -> std::size_t
+{
+    return front_.held_bytes() + ready_.held_bytes() + directory_.held_bytes() +
+           metrics_server_.held_bytes() + forwarder_.held_bytes();
+}
+
 auto entry_instance::answer_metrics(const std::shared_ptr<server_exchange>& exchange) -> void
 {
     const auto set = [this](const char* name, const char* help, double value) {
@@ -389,6 +441,24 @@
     set("cyclamenpost_request_bodies_refused",
         "Requests refused since the start because of the bytes of other requests' bodies.",
         static_cast<double>(front_.refused_bodies()));
+    set("cyclamenpost_connection_memory_bytes",
+        "Memory counted for connections of callers, of probes and directory, and of targets.",
+        static_cast<double>(counted_memory()));
+    set("cyclamenpost_caller_memory_bytes", "Memory counted for callers' connections.",
+        static_cast<double>(front_.held_bytes()));
+    set("cyclamenpost_caller_memory_limit_bytes", "Callers' share of the memory.",
+        static_cast<double>(front_.max_held_bytes()));
+    set("cyclamenpost_target_memory_bytes", "Memory counted for targets' connections.",
+        static_cast<double>(forwarder_.held_bytes()));
+    set("cyclamenpost_resident_bytes", "Resident size of the process.",
+        static_cast<double>(resident_bytes()));
+    for (const auto& limit : caller_limit_names) {
+        metrics_
+            .gauge_of("cyclamenpost_callers_limited",
+                      "Callers refused or disconnected since the start, by the limit they reached.",
+                      {{"limit", std::string{limit.name}}})
+            .set(static_cast<double>(front_.limited(limit.value)));
+    }
     set("cyclamenpost_caller_connections", "Open connections of callers.",
         static_cast<double>(front_.open_connections()));
     metrics_
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -391,7 +391,7 @@
         break_off("answer_too_large");
         return;
     }
-    if (!hold_bytes(state.buffered, held_bytes, answer_body.size())) {
+    if (!hold_bytes(state.buffered, held_bytes, answer_body.capacity())) {
         break_off("buffers_full");
     }
 }
@@ -408,11 +408,12 @@
         break_off(events.gap ? "event_gap" : "event_too_large");
         return;
     }
-    if (!hold_bytes(state.buffered, held_bytes, events.partial.size())) {
+    if (!hold_bytes(state.buffered, held_bytes, events.partial.capacity())) {
         break_off("buffers_full");
         return;
     }
-    if (!paused && exchange->unsent_bytes() > state.settings.max_unsent_bytes) {
+    const auto most = exchange->memory_is_short() ? 0 : state.settings.max_unsent_bytes;
+    if (!paused && exchange->unsent_bytes() > most) {
         paused = true;
         attempt.set_reading(false);
     }
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/limits/connection_memory.hpp"
 #include "forward_job.hpp"
 
 namespace cyclamenpost {
@@ -67,6 +68,7 @@
     chosen.max_buffered_bytes = memory / buffered_memory_divisor;
     chosen.max_answer_bytes = std::min(chosen.max_answer_bytes, memory / answer_memory_divisor);
     chosen.max_event_bytes = std::min(chosen.max_event_bytes, chosen.max_answer_bytes);
+    chosen.max_target_bytes = memory_shares_for(memory, 0).targets;
     return chosen;
 }
 
@@ -92,7 +94,9 @@
           {},
           {},
           {}})
-{}
+{
+    state_->client.set_max_held_bytes(settings.max_target_bytes);
+}
 
 forwarder::~forwarder()
 {
@@ -128,6 +132,11 @@
     }
 }
 
+auto forwarder::held_bytes() const -> std::size_t
+{
+    return state_->buffered.used + state_->client.held_bytes();
+}
+
 auto forwarder::running() const -> std::size_t
 {
     return state_->jobs.size() + state_->held.size();
--- a/src/entry/store_reader.cpp
+++ b/src/entry/store_reader.cpp
@@ -13,10 +13,6 @@
 // removed entries kept for peers that lag behind
 constexpr std::size_t max_kept_removals = 2000;
 constexpr duration idle_timeout = std::chrono::seconds{30};
-// the store limits a page to about 1 MB of items, and an item to 1 MB, before its encoding
-constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
-// far above what targets and configuration of the largest fleet take
-constexpr std::size_t max_listing_bytes = std::size_t{32} << 20U;
 
 } // namespace
 
@@ -169,7 +165,7 @@
 auto store_reader::add_body(std::string_view bytes) -> void
 {
     body_ += bytes;
-    if (body_.size() > max_answer_bytes) {
+    if (body_.size() > settings_.max_answer_bytes) {
         exchange_.cancel();
         timeout_timer_.reset();
         discard_answer("answer_too_large");
@@ -202,7 +198,7 @@
         return;
     }
     listing_bytes_ += body_.size();
-    if (listing_bytes_ > max_listing_bytes) {
+    if (listing_bytes_ > settings_.max_listing_bytes) {
         discard_answer("listing_too_large");
         return;
     }
--- a/src/routing/event_filter.cpp
+++ b/src/routing/event_filter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t max_spare_bytes = 16384;
+
 /// Length of the first complete event including the empty line that ends it; 0 without one. The
 /// first `searched` bytes are known to contain no end of an event.
 auto first_event_size(std::string_view text, std::size_t searched) -> std::size_t
@@ -85,6 +87,10 @@
         complete += event;
     }
     filter.partial.erase(0, filter.partial.size() - rest.size());
+    // a large event must not leave its memory with a stream of small ones
+    if (filter.partial.capacity() > filter.partial.size() + max_spare_bytes) {
+        filter.partial.shrink_to_fit();
+    }
     filter.oversized = filter.oversized || filter.partial.size() > filter.max_event_bytes;
     return complete;
 }
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -33,6 +33,8 @@
     lws_context* context = nullptr;
     lws_vhost* client_vhost = nullptr;
     bool stopping = false;
+    std::size_t max_descriptors = 0;
+    std::size_t open_descriptors = 0;
     /// Whether `run_until` has to check its condition after each event.
     bool checking_condition = false;
     /// When the present iteration and the one before it began.
@@ -157,6 +159,7 @@
 event_loop::event_loop(unsigned max_connections) : state_(std::make_unique<detail::loop_state>())
 {
     lws_set_log_level(LLL_ERR, nullptr);
+    state_->max_descriptors = max_connections;
     auto info = lws_context_creation_info{};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
@@ -265,6 +268,7 @@
                     "the event loop cannot adopt the descriptor");
     }
     lws_set_opaque_user_data(wsi, &watched);
+    count_descriptor(1);
     return {};
 }
 
@@ -285,6 +289,22 @@
     });
 }
 
+auto event_loop::free_descriptors() const -> std::size_t
+{
+    const auto open = state_->open_descriptors;
+    return open < state_->max_descriptors ? state_->max_descriptors - open : 0;
+}
+
+auto event_loop::max_descriptors() const -> std::size_t
+{
+    return state_->max_descriptors;
+}
+
+auto event_loop::count_descriptor(int change) -> void
+{
+    state_->open_descriptors += static_cast<std::size_t>(change);
+}
+
 auto event_loop::context() const -> lws_context*
 {
     return state_->context;
--- a/src/transport/http1.cpp
+++ b/src/transport/http1.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+/// Memory of header fields whose names and values have `text` bytes together. Strings grow to up to
+/// twice their size.
+auto held_head_bytes(const header_fields& fields, std::size_t text) -> std::size_t
+{
+    return fields.capacity() * sizeof(header_field) + 2 * text;
+}
+
 template <typename Visit>
 auto for_each_token(std::string_view list, Visit&& visit) -> void
 {
@@ -163,13 +170,20 @@
     bool complete = false;
     bool has_length = false;
     bool has_encoding = false;
+    /// Bytes of the head received so far, then of the fields after the body.
     std::size_t header_bytes = 0;
+    /// Bytes of the complete head.
+    std::size_t head_bytes = 0;
     parse_failure failure = parse_failure::none;
 
     auto fields() -> header_fields&
     {
         return message_kind == kind::request ? request.fields : response.fields;
     }
+    auto fields() const -> const header_fields&
+    {
+        return message_kind == kind::request ? request.fields : response.fields;
+    }
     auto begin() -> int;
     auto add_header_bytes(std::size_t count) -> int;
     auto add_name(std::string_view part) -> int;
@@ -188,6 +202,7 @@
     in_message = true;
     complete = false;
     header_bytes = 0;
+    head_bytes = 0;
     return 0;
 }
 
@@ -204,7 +219,7 @@
 auto http1_parser::state::add_name(std::string_view part) -> int
 {
     if (!in_head) {
-        return 0; // trailer fields are not forwarded
+        return add_header_bytes(part.size()); // trailer fields are not forwarded
     }
     if (in_value || fields().empty()) {
         fields().emplace_back();
@@ -217,7 +232,7 @@
 auto http1_parser::state::add_value(std::string_view part) -> int
 {
     if (!in_head) {
-        return 0;
+        return add_header_bytes(part.size());
     }
     in_value = true;
     fields().back().value += part;
@@ -243,6 +258,12 @@
 auto http1_parser::state::end_head() -> int
 {
     in_head = false;
+    header_bytes = 0;
+    head_bytes = 0;
+    for (const auto& field : fields()) {
+        head_bytes += field.name.size() + field.value.size();
+    }
+    head_bytes += request.target.size();
     has_length = false;
     has_encoding = false;
     if (!check_fields()) {
@@ -394,6 +415,30 @@
     return state_->response;
 }
 
+auto http1_parser::held_bytes() const -> std::size_t
+{
+    const auto text = state_->in_head ? state_->header_bytes : state_->head_bytes;
+    return held_head_bytes(state_->fields(), text);
+}
+
+auto http1_parser::drop_head() -> void
+{
+    state_->request = {};
+    state_->response = {};
+    state_->head_bytes = 0;
+}
+
+auto http1_parser::declared_body_bytes() const -> std::optional<std::uint64_t>
+{
+    const auto value = find_field(state_->fields(), "Content-Length");
+    auto size = std::uint64_t{0};
+    if (!value) {
+        return std::nullopt;
+    }
+    std::from_chars(value->data(), value->data() + value->size(), size);
+    return size;
+}
+
 auto http1_parser::in_message() const -> bool
 {
     return state_->in_message;
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
+#include "cyclamenpost/limits/byte_budget.hpp"
+
 namespace cyclamenpost {
 
 namespace {
@@ -15,6 +18,10 @@
 constexpr duration sweep_period = std::chrono::seconds{1};
 // interim responses and late copies of earlier responses are few and small; a peer that sends more
 // of them may go on without end
+// what an idle connection takes in this process and in libwebsockets
+constexpr std::size_t connection_bytes = 2048;
+// a connection with an ordinary head goes on while few others hold much
+constexpr std::size_t small_connection_bytes = 8192;
 constexpr std::size_t max_skipped_responses = 16;
 constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 
@@ -84,6 +91,13 @@
     bool reusable = true;
     duration idle_limit{};
     time_point idle_since{};
+    /// Memory of the connection as counted in the client.
+    std::size_t counted_bytes = 0;
+
+    client_connection() = default;
+    client_connection(const client_connection&) = delete;
+    auto operator=(const client_connection&) -> client_connection& = delete;
+    ~client_connection();
 
     auto open(event_loop& loop) -> result<void>;
     auto begin(const outgoing_request& request, exchange_handlers events) -> void;
@@ -98,6 +112,8 @@
     auto end_exchange(bool more_bytes) -> void;
     auto fail(exchange_failure reason) -> void;
     auto drop() -> void;
+    /// Counts the memory that the connection holds now. Returns whether it may go on growing.
+    auto count_bytes() -> bool;
     /// Brings the record's count of sent bytes up to date.
     auto note_sent() -> void;
 };
@@ -106,6 +122,8 @@
     event_loop* loop = nullptr;
     duration idle_limit{};
     client_counters counters;
+    /// Memory that the connections hold, with the limit for it.
+    byte_budget memory{std::numeric_limits<std::size_t>::max(), 0, small_connection_bytes};
     std::map<peer_key, std::vector<std::shared_ptr<client_connection>>> idle;
 
     auto take_idle(const peer_key& peer) -> std::shared_ptr<client_connection>;
@@ -114,6 +132,27 @@
     auto sweep() -> void;
 };
 
+client_connection::~client_connection()
+{
+    if (const auto owner = pool.lock()) {
+        hold_bytes(owner->memory, counted_bytes, 0);
+    }
+}
+
+auto client_connection::count_bytes() -> bool
+{
+    const auto owner = pool.lock();
+    if (!owner) {
+        return true;
+    }
+    const auto held = connection_bytes + parser->held_bytes() + tcp.held_bytes();
+    auto& memory = owner->memory;
+    memory.used += held - counted_bytes;
+    counted_bytes = held;
+    return memory.used <= memory.limit ||
+           (held <= memory.guaranteed_per_holder && memory.used - memory.limit < memory.limit / 4);
+}
+
 auto client_connection::open(event_loop& loop) -> result<void>
 {
     BOOST_LEAF_ASSIGN(tcp, connect_tcp(loop, peer.first));
@@ -132,6 +171,7 @@
         const auto self = shared_from_this();
         on_bytes(bytes);
     };
+    events.on_sent = [this] { count_bytes(); };
     events.on_closed = [this](close_reason reason) {
         const auto self = shared_from_this();
         on_closed(reason);
@@ -154,7 +194,8 @@
     record->earlier_exchanges = exchange_number - 1;
     record->established = established;
     parser->expect_no_body(request.head.method == "HEAD");
-    tcp.send(write_request_head(request.head, request.body.size()) + request.body);
+    tcp.send(write_request_head(request.head, request.body.size()), request.body);
+    count_bytes();
 }
 
 auto client_connection::on_bytes(std::string_view bytes) -> void
@@ -182,6 +223,9 @@
             return;
         }
     }
+    if (!count_bytes()) {
+        fail(exchange_failure::out_of_memory);
+    }
 }
 
 auto client_connection::on_closed(close_reason reason) -> void
@@ -265,6 +309,8 @@
     const auto keep = owner && reusable && !more_bytes && tcp && tcp.unsent_bytes() == 0 &&
                       idle_limit > duration::zero();
     note_sent();
+    parser->drop_head();
+    count_bytes();
     if (keep) {
         idle_since = monotonic_now();
         owner->keep(shared_from_this());
@@ -431,6 +477,12 @@
 auto http1_client::send(const outgoing_request& request, exchange_handlers handlers)
     -> result<client_exchange>
 {
+    const auto& memory = pool_->memory;
+    if (memory.used > memory.limit / 2 &&
+        memory.limit - std::min(memory.used, memory.limit) < request.body.size()) {
+        return fail(error_id::connect_failed, step::connect, request.address,
+                    "the requests being sent leave no memory for another one");
+    }
     const auto peer = detail::peer_key{request.address, request.peer};
     auto connection = std::shared_ptr<detail::client_connection>{};
     if (!request.fresh_connection) {
@@ -456,6 +508,16 @@
     return exchange;
 }
 
+auto http1_client::set_max_held_bytes(std::size_t limit) -> void
+{
+    pool_->memory.limit = limit;
+}
+
+auto http1_client::held_bytes() const -> std::size_t
+{
+    return pool_->memory.used;
+}
+
 auto http1_client::counters() const -> const client_counters&
 {
     return pool_->counters;
--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenpost/transport/tcp.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -11,10 +13,19 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 namespace cyclamenpost {
 
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 65536;
+// an empty buffer of up to this size is kept for the next bytes
+constexpr std::size_t kept_buffer_bytes = 1024;
+
+} // namespace
+
 namespace detail {
 
 struct tcp_state : std::enable_shared_from_this<tcp_state> {
@@ -25,6 +36,8 @@
     std::string pending;
     std::size_t pending_offset = 0;
     std::uint64_t sent_bytes = 0;
+    /// Largest number of bytes of one read.
+    std::size_t read_size = read_buffer_bytes;
     bool connecting = false;
     bool in_event = false;
     bool closing = false;
@@ -33,6 +46,13 @@
     std::shared_ptr<tcp_state> self;
 
     auto flush() -> bool;
+    /// Hands bytes to the kernel without buffering them. Returns how many it took, or nothing if
+    /// the connection has failed.
+    auto send_now(std::string_view bytes, std::string_view more) -> std::optional<std::size_t>;
+    /// Buffers bytes behind those that wait already.
+    auto keep(std::string_view bytes) -> void;
+    /// Frees the memory of bytes that were sent.
+    auto release_sent() -> void;
     auto request_writable() -> void;
     auto close() -> void;
     auto fail(close_reason reason) -> void;
@@ -67,7 +87,6 @@
 constexpr int keepalive_seconds = 5;
 constexpr int keepalive_probes = 2;
 constexpr int listen_backlog = 1024;
-constexpr std::size_t read_buffer_bytes = 65536;
 // bounds the time for which accepting delays the established connections
 constexpr int max_accepts_per_iteration = 64;
 
@@ -116,7 +135,9 @@
                                            protocol, nullptr);
     if (wsi == nullptr) {
         ::close(descriptor);
+        return nullptr;
     }
+    loop.count_descriptor(1);
     return wsi;
 }
 
@@ -176,6 +197,7 @@
     const auto state = raw->shared_from_this();
     if (reason == LWS_CALLBACK_RAW_CLOSE_FILE) {
         state->wsi = nullptr;
+        state->loop->count_descriptor(-1);
         state->self.reset();
     }
     if (reason == LWS_CALLBACK_RAW_RX_FILE) {
@@ -220,9 +242,43 @@
         pending_offset += static_cast<std::size_t>(count);
         sent_bytes += static_cast<std::uint64_t>(count);
     }
+    release_sent();
+    return true;
+}
+
+auto tcp_state::send_now(std::string_view bytes, std::string_view more)
+    -> std::optional<std::size_t>
+{
+    auto parts = std::array<iovec, 2>{{{const_cast<char*>(bytes.data()), bytes.size()},
+                                       {const_cast<char*>(more.data()), more.size()}}};
+    auto message = msghdr{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const auto count = ::sendmsg(descriptor, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0) {
+        return would_block(errno) ? std::optional{std::size_t{0}} : std::nullopt;
+    }
+    sent_bytes += static_cast<std::uint64_t>(count);
+    return static_cast<std::size_t>(count);
+}
+
+auto tcp_state::keep(std::string_view bytes) -> void
+{
+    const auto unsent = pending.size() - pending_offset;
+    if (pending_offset > unsent) {
+        pending.erase(0, pending_offset);
+        pending_offset = 0;
+    }
+    pending.append(bytes);
+}
+
+auto tcp_state::release_sent() -> void
+{
     pending.clear();
     pending_offset = 0;
-    return true;
+    if (pending.capacity() > kept_buffer_bytes) {
+        std::string{}.swap(pending);
+    }
 }
 
 auto tcp_state::close() -> void
@@ -251,6 +307,7 @@
 auto tcp_state::on_descriptor_closing() -> void
 {
     wsi = nullptr;
+    loop->count_descriptor(-1);
     self.reset();
     if (closing) {
         return;
@@ -267,7 +324,7 @@
 auto tcp_state::read_some() -> bool
 {
     static auto buffer = std::array<char, read_buffer_bytes>{};
-    const auto count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    const auto count = recv(descriptor, buffer.data(), read_size, MSG_DONTWAIT);
     if (count > 0) {
         // the handler may replace itself while it runs
         const auto on_bytes = handlers.on_bytes;
@@ -376,18 +433,31 @@
     }
 }
 
-auto tcp_connection::send(std::string_view bytes) -> void
+auto tcp_connection::send(std::string_view bytes, std::string_view more) -> void
 {
-    if (!*this || bytes.empty()) {
+    if (!*this || (bytes.empty() && more.empty())) {
         return;
     }
-    state_->pending.append(bytes);
-    if (state_->connecting || state_->pending.size() > state_->pending_offset + bytes.size()) {
+    auto& state = *state_;
+    if (state.connecting || !state.pending.empty()) {
+        state.keep(bytes);
+        state.keep(more);
         return;
     }
-    if (!state_->flush()) {
+    const auto taken = state.send_now(bytes, more);
+    if (!taken) {
         const auto reason = reason_of(errno);
-        state_->loop->post([state = state_, reason] { state->fail(reason); });
+        // the bytes stay unsent, so that nothing is taken for delivered
+        state.keep(bytes);
+        state.keep(more);
+        state.loop->post([held = state_, reason] { held->fail(reason); });
+        return;
+    }
+    const auto of_first = std::min(*taken, bytes.size());
+    state.keep(bytes.substr(of_first));
+    state.keep(more.substr(*taken - of_first));
+    if (!state.pending.empty()) {
+        state.request_writable();
     }
 }
 
@@ -396,6 +466,11 @@
     return state_ ? state_->pending.size() - state_->pending_offset : 0;
 }
 
+auto tcp_connection::held_bytes() const -> std::size_t
+{
+    return state_ ? state_->pending.capacity() : 0;
+}
+
 auto tcp_connection::sent_bytes() const -> std::uint64_t
 {
     return state_ ? state_->sent_bytes : 0;
@@ -423,6 +498,13 @@
     }
 }
 
+auto tcp_connection::set_read_size(std::size_t bytes) -> void
+{
+    if (state_) {
+        state_->read_size = std::clamp<std::size_t>(bytes, 1, read_buffer_bytes);
+    }
+}
+
 auto tcp_connection::finish_sending() -> void
 {
     if (*this) {
