--- a/include/cyclamenpost/limits/byte_budget.hpp
+++ b/include/cyclamenpost/limits/byte_budget.hpp
@@ -9,7 +9,8 @@
     std::size_t limit = 0;
     std::size_t used = 0;
     /// Bytes that one holder gets even if the limit is reached, so that a few holders of many bytes
-    /// cannot stop the others. All holders together get a quarter of the limit in this way.
+    /// cannot stop the others. All holders together get a quarter of the limit in this way; one of
+    /// at most 4 KiB within its guarantee is always served.
     std::size_t guaranteed_per_holder = std::size_t{64} << 10U;
 };
 
--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -214,17 +214,17 @@
         return;
     }
     if (owner && !hold_bytes(owner->bodies, held_body_bytes, body.size() + bytes.size())) {
-        refuse_body();
+        refuse_body(body.size() + bytes.size());
         return;
     }
     append_bounded(body, bytes, owner ? owner->limits.max_body_bytes : 0);
 }
 
 /// Refuses a request for whose body there is no room. It has not been passed to the owner.
-auto server_connection::refuse_body() -> void
+auto server_connection::refuse_body(std::size_t bytes) -> void
 {
     if (const auto owner = server.lock()) {
-        owner->note_limit(caller_limit::buffered_bodies, *this, body.size());
+        owner->note_limit(caller_limit::buffered_bodies, *this, bytes);
     }
     reject(service_unavailable, {{"Retry-After", retry_after_full}});
 }
--- a/src/transport/http1_server_detail.hpp
+++ b/src/transport/http1_server_detail.hpp
@@ -99,7 +99,7 @@
     auto on_closed() -> void;
     auto reject(int status, header_fields fields = {}) -> void;
     auto reject_for_limit(caller_limit limit, std::size_t bytes) -> void;
-    auto refuse_body() -> void;
+    auto refuse_body(std::size_t bytes) -> void;
     auto release_body() -> void;
     auto next_request() -> void;
     auto begin_close() -> void;
--- a/src/transport/tcp.cpp
+++ b/src/transport/tcp.cpp
@@ -87,6 +87,8 @@
 constexpr int keepalive_seconds = 5;
 constexpr int keepalive_probes = 2;
 constexpr int listen_backlog = 1024;
+// libwebsockets has descriptors of its own, and writes a line when it has no room for another one
+constexpr std::size_t own_descriptors = 4;
 // bounds the time for which accepting delays the established connections
 constexpr int max_accepts_per_iteration = 64;
 
@@ -129,6 +131,10 @@
 /// closed at once.
 auto adopt(event_loop& loop, int descriptor, const char* protocol) -> lws*
 {
+    if (loop.free_descriptors() < own_descriptors) {
+        ::close(descriptor);
+        return nullptr;
+    }
     auto file = lws_sock_file_fd_type{};
     file.filefd = descriptor;
     auto* wsi = lws_adopt_descriptor_vhost(loop.client_vhost(), LWS_ADOPT_RAW_FILE_DESC, file,
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -1,5 +1,5 @@
-// Decodes damaged documents and headers of the platform. Built with the undefined behaviour
-// sanitizer, which ends the program at a finding.
+// Decodes damaged documents and headers of the platform, and damaged chunked requests. Built with
+// the undefined behaviour sanitizer, which ends the program at a finding.
 
 #include <array>
 #include <cstdlib>
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cyclamenpost/transport/http1.hpp"
 #include "platform_requests.hpp"
 #include "platform_settings.hpp"
 #include "platform_store.hpp"
@@ -23,6 +24,8 @@
     "\"\"",      "true", "[[[[",  "\xff\xfe", "\"\\ud800\"",          "4294967296",
     "2147483648"};
 
+constexpr auto chunked_rounds_divisor = 20ULL;
+
 struct damage {
     std::mt19937_64 random;
 
@@ -155,6 +158,71 @@
     platform::decode_key(damaged.some("servers/i-1"));
 }
 
+/// A chunked request with extensions and trailers, and the body it stands for.
+auto chunked_request(damage& chosen) -> std::pair<std::string, std::string>
+{
+    auto text = std::string{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    auto body = std::string{};
+    for (auto count = chosen.below(5); count > 0; --count) {
+        const auto piece = std::string(1 + chosen.below(40), static_cast<char>('a' + count));
+        auto chunk = write_chunk(piece);
+        if (chosen.below(2) == 0) {
+            chunk.insert(chunk.find('\r'), ";name=value");
+        }
+        text += chunk;
+        body += piece;
+    }
+    text += chosen.below(2) == 0 ? "0\r\n\r\n" : "0;last\r\nX-Sum: 12\r\n\r\n";
+    return {text, body};
+}
+
+struct parsed_request {
+    std::string body;
+    int complete = 0;
+    parse_failure failure = parse_failure::none;
+    bool operator==(const parsed_request&) const = default;
+};
+
+/// Parses a request that arrives in pieces which end at the given places.
+auto parse_pieces(std::string_view text, const std::vector<std::size_t>& ends) -> parsed_request
+{
+    constexpr auto max_header_bytes = 200;
+    auto seen = parsed_request{};
+    auto handlers = http1_handlers{};
+    handlers.on_body = [&](std::string_view bytes) { seen.body += bytes; };
+    handlers.on_complete = [&] { ++seen.complete; };
+    auto parser = http1_parser{http1_parser::kind::request, std::move(handlers), max_header_bytes};
+    auto begin = std::size_t{0};
+    for (const auto end : ends) {
+        auto piece = text.substr(begin, end - begin);
+        begin = end;
+        while (!piece.empty() && parser.failure() == parse_failure::none && seen.complete == 0) {
+            piece.remove_prefix(parser.parse(piece));
+            // a field costs at most its texts twice and the growth of the list
+            check(parser.held_bytes() <= max_header_bytes * 2 * (sizeof(header_field) + 2),
+                  "a head takes more memory than its limit allows", std::string{text});
+        }
+    }
+    seen.failure = parser.failure();
+    return seen;
+}
+
+/// Guards against a request that is read differently depending on where its bytes are split.
+auto try_chunked_bodies(damage& damaged) -> void
+{
+    const auto [sound, body] = chunked_request(damaged);
+    const auto whole = parse_pieces(sound, {sound.size()});
+    check(whole.complete == 1 && whole.body == body, "a chunked body is misread", sound);
+    const auto text = damaged.below(2) == 0 ? sound : damaged.some(sound);
+    const auto expected = parse_pieces(text, {text.size()});
+    auto single = std::vector<std::size_t>{};
+    for (std::size_t at = 1; at <= text.size(); ++at) {
+        single.push_back(at);
+        check(parse_pieces(text, {at, text.size()}) == expected, "a split changes a request", text);
+    }
+    check(parse_pieces(text, single) == expected, "single bytes change a request", text);
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -165,6 +233,10 @@
     for (auto round = 0ULL; round < rounds; ++round) {
         try_headers(damaged);
         try_documents(damaged);
+        // each of these parses the request once for every byte of it
+        if (round % chunked_rounds_divisor == 0) {
+            try_chunked_bodies(damaged);
+        }
     }
     std::cout << "seed " << seed << ", rounds " << rounds << ": no finding\n";
     return 0;
