--- a/src/transport/http1.cpp
+++ b/src/transport/http1.cpp
@@ -425,6 +425,7 @@
 {
     state_->request = {};
     state_->response = {};
+    state_->header_bytes = 0;
     state_->head_bytes = 0;
 }
 
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -117,7 +117,6 @@
     auto candidates = std::vector<std::shared_ptr<server_connection>>{};
     auto holdings = std::vector<connection_holding>{};
     for (const auto& connection : connections) {
-        // a request that has arrived but was not read yet is not idle
         if (!connection->in_parse) {
             candidates.push_back(connection);
             holdings.push_back(connection->holding(now));
@@ -126,6 +125,7 @@
     const auto wanted = limits.spare_descriptors + limits.spare_descriptors / 2 - open;
     const auto chosen = choose_for_descriptors(holdings, wanted, now);
     for (const auto index : chosen) {
+        // a connection with a request that was not read yet is not idle
         if (holdings[index].state != holder_state::idle || candidates[index]->closing ||
             !candidates[index]->tcp.has_input()) {
             candidates[index]->give_way(caller_limit::descriptors);
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -180,13 +180,13 @@
     std::string body;
     int complete = 0;
     parse_failure failure = parse_failure::none;
-    bool operator==(const parsed_request&) const = default;
+    auto operator==(const parsed_request&) const -> bool = default;
 };
 
 /// Parses a request that arrives in pieces which end at the given places.
 auto parse_pieces(std::string_view text, const std::vector<std::size_t>& ends) -> parsed_request
 {
-    constexpr auto max_header_bytes = 200;
+    constexpr auto max_header_bytes = std::size_t{200};
     auto seen = parsed_request{};
     auto handlers = http1_handlers{};
     handlers.on_body = [&](std::string_view bytes) { seen.body += bytes; };
--- a/tests/unit-http1_server.cpp
+++ b/tests/unit-http1_server.cpp
@@ -383,3 +383,39 @@
     CHECK(call(30'000).starts_with("HTTP/1.1 200"));
     CHECK(server.buffered_body_bytes() == 0);
 }
+
+// Guards against reading on behind a head that declares too much.
+TEST_CASE_FIXTURE(server_test, "http1_server: a body that is declared too large is refused unseen")
+{
+    caller.send("POST / HTTP/1.1\r\nContent-Length: 101\r\nExpect: 100-continue\r\n\r\n");
+    wait_for_end();
+    CHECK(received.starts_with("HTTP/1.1 413"));
+    CHECK(server.limited(caller_limit::declared_body_bytes) == 1);
+}
+
+// Guards against unfinished heads that fill the memory, and against a complete request or an
+// ordinary caller that pays for them.
+TEST_CASE_FIXTURE(server_test, "http1_server: unfinished requests give way when memory is short")
+{
+    send_and_wait(simple_request, 1);
+    auto chosen = limits();
+    chosen.header_timeout = std::chrono::seconds{60};
+    chosen.max_held_bytes = 100'000;
+    server.set_limits(chosen);
+    const auto head = "GET / HTTP/1.1\r\nX: " + std::string(12'000, 'x');
+    auto descriptors = std::vector<int>{};
+    for (auto count = 0; count < 30; ++count) {
+        descriptors.push_back(connect_and_send(server.port(), head));
+    }
+    REQUIRE(loop.run_until([&] { return server.limited(caller_limit::memory) >= 20; }, limit));
+    CHECK(server.held_bytes() <= chosen.max_held_bytes);
+    auto answer = std::array<char, 100>{};
+    REQUIRE(::recv(descriptors.front(), answer.data(), answer.size(), 0) > 0);
+    CHECK(std::string_view{answer.data()}.starts_with("HTTP/1.1 503"));
+    requests[0]->respond(status_head(200), "whole");
+    wait_for("whole");
+    send_and_wait(simple_request, 2);
+    for (const auto descriptor : descriptors) {
+        ::close(descriptor);
+    }
+}
