--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/limits/connection_memory.hpp"
 #include "forward_job.hpp"
 
 namespace cyclamenpost {
@@ -69,6 +70,7 @@
     chosen.max_buffered_bytes = memory / buffered_memory_divisor;
     chosen.max_answer_bytes = std::min(chosen.max_answer_bytes, memory / answer_memory_divisor);
     chosen.max_event_bytes = std::min(chosen.max_event_bytes, chosen.max_answer_bytes);
+    chosen.max_target_bytes = memory_shares_for(memory, 0).targets;
     return chosen;
 }
 
@@ -97,6 +99,7 @@
           {}})
 {
     state_->waiting.settings.max_bytes = settings.max_buffered_bytes / waiting_bytes_divisor;
+    state_->client.set_max_held_bytes(settings.max_target_bytes);
 }
 
 forwarder::~forwarder()
@@ -123,6 +126,11 @@
     exchange.respond(state_->codec.encode_local_reply(status, retry_after), {});
 }
 
+auto forwarder::held_bytes() const -> std::size_t
+{
+    return state_->buffered.used + state_->client.held_bytes();
+}
+
 auto forwarder::running() const -> std::size_t
 {
     return state_->jobs.size() + state_->held.size();
