--- a/tests/unit-even_forwarding.cpp
+++ b/tests/unit-even_forwarding.cpp
@@ -10,7 +10,7 @@
 {
     auto& first = add_target("app-1", "app");
     auto& second = add_target("app-2", "app");
-    traffic.even_load = true;
+    options.even_load = true;
     publish(1);
     add_instance();
     wait_ready();
