Take prompts from a holder at which the fleet's requests fail

Cause: the holder of a prompt kept it while other instances knew that it hung, so each instance lost a request of its own there.

--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -111,7 +111,7 @@
 /// loaded, the second may replace it: a choice between two evens out load that is known with a
 /// delay (Mitzenmacher 2001). With `even_load`, a request that does not go to a holder is spread
 /// over all targets that are like the one of lowest cost in load bound and backoff
-/// (`spread_weights`).
+/// (`spread_weights`), and a target at which the fleet's requests fail holds no prompts.
 auto choose_target(target_table& table, const choice_query& query, const choice_weights& weights,
                    time_point now) -> target_choice;
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -26,6 +26,10 @@
 // makes the offset of the sample independent of the number by which one of it is picked
 constexpr double offset_scale = 7919;
 
+// a target loses its prompts above this share; one failure that no answer contradicts gives two
+// thirds, and a service all of whose targets fail half of their requests keeps its holders
+constexpr double max_holder_failures = 0.6;
+
 /// An eligible target of the service.
 struct candidate {
     target* destination = nullptr;
@@ -95,6 +99,7 @@
     }
     for (const auto& entry : candidates) {
         const auto accepts = entry.available && !exceeds_load_bound(entry.load, mean, weights) &&
+                             entry.believed.failure_share < max_holder_failures &&
                              now >= entry.destination->backoff_until;
         if (!accepts) {
             continue;
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include "cyclamenpost/routing/fleet_load.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 #include "cyclamenpost/routing/target_choice.hpp"
 
@@ -388,3 +389,25 @@
     known.load->started_since = 4;
     CHECK(estimated_load(table, known, start + 1900ms) >= 4);
 }
+
+// Guards against prompts whose holder hangs: each instance lost a request of its own there,
+// although the fleet knew of the failures.
+TEST_CASE("target_choice: a prompt leaves a holder at which the fleet's requests fail, and returns")
+{
+    auto table = make_table(8);
+    table.fleet.active = true;
+    auto query = prompt_query(7);
+    query.even_load = true;
+    const auto holder = chosen_id(table, query);
+    record_attempt(table, table.targets.at(holder), false, start);
+    record_attempt(table, table.targets.at(holder), false, start);
+    const auto next = chosen_id(table, query, start + 10ms);
+    CHECK(next != holder);
+    // no instance is the only one that moves the prompt: the next in rendezvous order takes it
+    query.random = 0.9;
+    CHECK(chosen_id(table, query, start + 10ms) == next);
+    record_attempt(table, table.targets.at(holder), true, start + 500ms);
+    CHECK(chosen_id(table, query, start + 510ms) == holder);
+    query.even_load = false;
+    CHECK(chosen_id(table, query, start + 10ms) == holder);
+}
