--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -18,8 +18,8 @@
 #include "cyclamenpost/placement/chat_table.hpp"
 #include "cyclamenpost/routing/event_filter.hpp"
 #include "cyclamenpost/routing/request_steps.hpp"
-#include "cyclamenpost/routing/target_estimate.hpp"
 #include "cyclamenpost/routing/silence.hpp"
+#include "cyclamenpost/routing/target_estimate.hpp"
 
 namespace cyclamenpost {
 
--- a/src/routing/target_estimate.cpp
+++ b/src/routing/target_estimate.cpp
@@ -11,8 +11,8 @@
 // requests that wait end evenly, so the time until a slot is free varies by about half of its mean
 constexpr double queue_deviation = 0.5;
 
-// mean age of a sum when it arrives: each of two or three hops waits for half of a period of 200 ms,
-// and the sender's own number is as old as its last report
+// mean age of a sum when it arrives: each of two or three hops waits for half of a period of 200
+// ms, and the sender's own number is as old as its last report
 constexpr duration exchange_delay = std::chrono::milliseconds{300};
 
 auto from_seconds(double seconds) -> duration
