--- a/daemons/cyclamenpost_entry.cpp
+++ b/daemons/cyclamenpost_entry.cpp
@@ -93,7 +93,11 @@
                {"front", settings.front_address},
                {"peer", settings.peer_address},
                {"metrics", settings.metrics_address},
-               {"store", settings.store_address}});
+               {"store", settings.store_address},
+               {"fleet_load", switch_text(settings.options.fleet_load)},
+               {"even_load", switch_text(settings.options.even_load)},
+               {"admission", switch_text(settings.options.admission)},
+               {"early_retry", switch_text(settings.options.early_retry)}});
     const auto flushing = loop.call_every(log_flush_period, flush_log);
     instance.start();
     loop.run();
--- a/include/cyclamenpost/entry/entry_options.hpp
+++ b/include/cyclamenpost/entry/entry_options.hpp
@@ -25,6 +25,9 @@
     bool help_shown = false;
 };
 
+/// The text of a switch, "on" or "off".
+auto switch_text(bool enabled) -> std::string;
+
 /// Reads options from the arguments; for absent flags from `CYCLAMENPOST_<FLAG>` variables, then
 /// from `defaults`. Fails with `setting_invalid`, which names the flag and the allowed values.
 auto parse_entry_options(int argc, const char* const* argv, const environment& variables,
--- a/src/entry/entry_options.cpp
+++ b/src/entry/entry_options.cpp
@@ -45,13 +45,13 @@
     return text == "on";
 }
 
+} // namespace
+
 auto switch_text(bool enabled) -> std::string
 {
     return enabled ? "on" : "off";
 }
 
-} // namespace
-
 auto parse_entry_options(int argc, const char* const* argv, const environment& variables,
                          entry_options defaults) -> result<entry_options>
 {
