Answer held requests whose time limit passes while they are ordered

One whose time limit passed between the two readings was not taken into the order, and its connection closed without an answer. Found by reading; no test brings the moment about. Change: what the order has left is handled as any other request.

--- a/src/entry/forwarder_held.cpp
+++ b/src/entry/forwarder_held.cpp
@@ -89,6 +89,12 @@
             handle(std::move(exchange));
         }
     }
+    // a request whose time limit passes meanwhile is not ordered, and still has to be answered
+    for (auto& exchange : held) {
+        if (exchange && !exchange->answered()) {
+            handle(std::move(exchange));
+        }
+    }
 }
 
 } // namespace cyclamenpost
