Name the connection in the lines of attempts

Cause: two attempts of one request over one connection could not be told from two over two connections to the same target, so a log could not distinguish the hypotheses of docs/incidents/copied-refusal.md. Change: each connection of http1_client has a number, and attempt_ended logs it as connection. Result: unit-http1_client, unit-forwarder, unit-exchange_orders and unit-faulty_targets pass.

--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -74,6 +74,8 @@
 
 /// What is known of one exchange's use of its connection, for log lines.
 struct exchange_record {
+    /// Number of the connection, unique among those of the client; 0 without a connection.
+    std::uint64_t connection = 0;
     /// Requests that the connection carried before.
     std::uint64_t earlier_exchanges = 0;
     /// Whether the connection has ever been established; it may be closed since.
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -318,6 +318,7 @@
                {"cause", std::string{cause}},
                {"status", std::to_string(answer_head.status)},
                {"took_ms", milliseconds_text(monotonic_now() - attempt_begun)},
+               {"connection", std::to_string(record.connection)},
                {"exchanges", std::to_string(record.earlier_exchanges)},
                {"established", record.established ? "1" : "0"},
                {"sent_bytes", std::to_string(record.sent_bytes)},
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -69,6 +69,7 @@
 struct client_connection : std::enable_shared_from_this<client_connection> {
     std::weak_ptr<client_pool> pool;
     peer_key peer;
+    std::uint64_t number = 0;
     tcp_connection tcp;
     std::unique_ptr<http1_parser> parser;
     exchange_handlers handlers;
@@ -191,6 +192,7 @@
     ++exchange_number;
     sent_bytes_before = tcp.sent_bytes();
     record = std::make_shared<exchange_record>();
+    record->connection = number;
     record->earlier_exchanges = exchange_number - 1;
     record->established = established;
     parser->expect_no_body(request.head.method == "HEAD");
@@ -498,7 +500,7 @@
         connection->peer = peer;
         connection->idle_limit = pool_->idle_limit;
         BOOST_LEAF_CHECK(connection->open(*pool_->loop));
-        ++pool_->counters.opened;
+        connection->number = ++pool_->counters.opened;
     }
     connection->begin(request, std::move(handlers));
     auto exchange = client_exchange{};
