--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -194,6 +194,40 @@
     CHECK(call.head.status == 200);
 }
 
+// Guards against a target's word that is taken for the next attempt's of the same request: the
+// target was full, the request comes back to it after a pause, and a copy of the refusal precedes
+// the answer.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: a copy of a refusal does not speak for the "
+                                 "attempt that follows a pause")
+{
+    options.admission = true;
+    auto attempts = 0;
+    auto runs = 0;
+    auto target = scripted_target{
+        *this, "app-1", "app", [&](const received_request& request) {
+            if (request.id == "b1" && ++attempts == 1) {
+                request.connection->send(refusal(request.id));
+                return;
+            }
+            runs += request.id == "b1" ? 1 : 0;
+            const auto copy =
+                request.id == "b1" && request.earlier > 1 ? refusal(request.id) : std::string{};
+            request.connection->send(
+                copy + response("200 OK", request.id, "X-Server-Seal: s\r\n", "done"));
+        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    wait([&] { return instances[0]->view().targets.targets.size() == 1; });
+    wait([&] { return instances[0]->view().retries.min_per_second > 0; });
+    // a pause needs a known request time
+    CHECK(ask("/book/1", 0, "key-1", "b0").head.status == 200);
+    const auto call = ask("/book/2", 0, "key-1", "b1");
+    CHECK(attempts == 2);
+    CHECK(runs == 1);
+    CHECK(call.head.status == 200);
+}
+
 // Guards against a notice that is taken for another target's: the address was taken over, and a
 // late copy of the first target's answer says that it is leaving.
 TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: a target that has taken over an address is not "
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -235,6 +235,26 @@
     CHECK(client.counters().reused == 0);
 }
 
+// Guards against a copy of a refusal that speaks for the next attempt of the same request: the copy
+// and the attempt have the same id, so only their connections tell them apart.
+TEST_CASE_FIXTURE(call_test, "http1_client: a request does not return over a connection that has "
+                             "carried its id")
+{
+    const auto refusal = std::string{"HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 0\r\n\r\n"};
+    begin().send(refusal);
+    wait();
+    CHECK(call.status == 503);
+    auto second = observed_call{};
+    received.clear();
+    second.send(client, address, "a");
+    REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+    accepted.front().send(refusal);
+    accepted.back().send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\ndone");
+    REQUIRE(loop.run_until([&] { return second.ended(); }, limit));
+    CHECK(accepted.size() == 2);
+    CHECK(second.status == 200);
+}
+
 TEST_CASE_FIXTURE(call_test, "http1_client: a late copy without an id does not answer the next "
                              "request on a reused connection")
 {
