Give HEAD requests connections of their own

What callers could see: a request that followed a HEAD request on a connection to a target ended as garbled, or got an answer that was read from the body of its own. Cause: whether a response has a body follows from the request in progress. A late copy of the response to HEAD, which declares a length without a body, took the next response for its body. Change: a HEAD request opens a connection, which is not kept.

--- a/include/cyclamenpost/transport/http1_client.hpp
+++ b/include/cyclamenpost/transport/http1_client.hpp
@@ -145,7 +145,8 @@
 
 /// HTTP/1.1 client with persistent connections. A connection is reused only if its last request was
 /// sent and its last response was received completely, and only for a request whose id it has not
-/// carried before. After `max_connection_requests` it is closed.
+/// carried before. A HEAD request has a connection of its own. After `max_connection_requests` it
+/// is closed.
 class http1_client {
 public:
     /// Closes idle connections after `idle_limit`, or earlier if the Keep-Alive header of the peer
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -58,6 +58,14 @@
     return parsed.ec == std::errc{} ? std::optional{seconds} : std::nullopt;
 }
 
+/// Whether the response has no body whatever its length says. Such a request has a connection of
+/// its own: a late copy of its response, or of an earlier one before it, would be read with the
+/// wrong length.
+auto is_head(const request_head& head) -> bool
+{
+    return head.method == "HEAD";
+}
+
 } // namespace
 
 namespace detail {
@@ -211,7 +219,8 @@
     record->connection = number;
     record->earlier_exchanges = exchange_number - 1;
     record->established = established;
-    parser->expect_no_body(request.head.method == "HEAD");
+    parser->expect_no_body(is_head(request.head));
+    reusable = !is_head(request.head);
     tcp.send(write_request_head(request.head, request.body.size()), request.body);
     count_bytes();
 }
@@ -528,7 +537,7 @@
     const auto peer = detail::peer_key{request.address, request.peer};
     auto connection = std::shared_ptr<detail::client_connection>{};
     auto passed_over = std::uint64_t{0};
-    if (!request.fresh_connection) {
+    if (!request.fresh_connection && !is_head(request.head)) {
         connection = pool_->take_idle(peer, request.id, passed_over);
     }
     if (connection) {
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -50,13 +50,13 @@
     std::function<void()> when_complete;
 
     auto send(http1_client& client, const std::string& address, const std::string& id,
-              const std::string& peer = {}) -> void
+              const std::string& peer = {}, const std::string& method = "POST") -> void
     {
         auto request = outgoing_request{};
         request.address = address;
         request.peer = peer;
         request.id = id;
-        request.head.method = "POST";
+        request.head.method = method;
         request.head.target = "/work";
         request.body = "body";
         auto handlers = exchange_handlers{};
@@ -252,6 +252,27 @@
     CHECK(second.status == 200);
 }
 
+// Guards against a body that is read as a response: a response to HEAD declares a length without a
+// body, so a late copy of it, before the response to another request, would take that one for its
+// body.
+TEST_CASE_FIXTURE(call_test,
+                  "http1_client: a connection is not used before or after a HEAD request")
+{
+    auto head = observed_call{};
+    head.send(client, address, "h", {}, "HEAD");
+    REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+    accepted.back().send("HTTP/1.1 200 OK\r\nId: h\r\nContent-Length: 40\r\n\r\n");
+    REQUIRE(loop.run_until([&] { return head.ended(); }, limit));
+    CHECK(head.complete);
+    received.clear();
+    begin().send("HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 4\r\n\r\nbusy");
+    CHECK_FALSE(call.exchange.reused());
+    wait();
+    auto after = observed_call{};
+    after.send(client, address, "i", {}, "HEAD");
+    CHECK_FALSE(after.exchange.reused());
+}
+
 // Guards against connections that are lost to other requests because one request must not use them.
 TEST_CASE_FIXTURE(call_test,
                   "http1_client: a connection that one request passes over serves others")
