Take a target's wish for rest only from the answer to the attempt

What callers could see: requests waited or were refused although the target served again. Cause: Retry-After was read from any answer on the connection and counted from its arrival, so a late copy of a refusal renewed the rest. Change: rest is read from the attempt's own answer. Leaving is still read from any: it holds for the start of the target, whenever it is said.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -163,7 +163,7 @@
     auto handlers = exchange_handlers{};
     handlers.id_of = [this](const response_head& head) {
         const auto seen = state.codec.decode_answer(head);
-        note_target_news(head.status, seen);
+        note_leaving(head.status, seen);
         return seen.request_id;
     };
     handlers.on_head = [this](response_head& head) { on_answer_head(head); };
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -190,9 +190,13 @@
     /// Refuses the request in place of the last target that rejected it, whose answer does not say
     /// when to return. Returns false when the target's answer is to be passed on.
     auto refuse_for_target(attempt_end end, std::string_view cause) -> bool;
-    /// Records what the target says of itself in any answer on its connection, also in a late one
-    /// to another request.
-    auto note_target_news(int status, const answer_metadata& seen) -> void;
+    /// Records that the target says that it is leaving, in any answer on its connection.
+    auto note_leaving(int status, const answer_metadata& seen) -> void;
+    /// Records that the target wants rest. Only the answer to the attempt counts: the time would be
+    /// counted from the arrival of a late copy.
+    auto note_rest() -> void;
+    /// Whether the answer comes from the target of the attempt.
+    auto is_from_target(int status, const answer_metadata& seen) const -> bool;
     auto count_notice(std::string_view notice) -> void;
     auto on_answer_head(response_head& head) -> void;
     auto on_answer_body(std::string_view bytes) -> void;
--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -73,24 +73,32 @@
     handle(event, "stalled", target_outcome::failed);
 }
 
-auto forward_job::note_target_news(int status, const answer_metadata& seen) -> void
+auto forward_job::is_from_target(int status, const answer_metadata& seen) const -> bool
+{
+    return status != misdirected && (seen.target_id.empty() || seen.target_id == target_id);
+}
+
+auto forward_job::note_rest() -> void
 {
     const auto found = state.view.targets.targets.find(target_id);
-    const auto is_other_target =
-        status == misdirected || (!seen.target_id.empty() && seen.target_id != target_id);
-    if (found == state.view.targets.targets.end() || is_other_target) {
+    if (found == state.view.targets.targets.end() || answer.rest <= duration::zero() ||
+        !is_from_target(answer_head.status, answer)) {
         return;
     }
-    if (seen.rest > duration::zero()) {
-        record_rest(found->second, seen.rest, monotonic_now());
-        log_event(log_level::info, "target_wants_rest",
-                  {{"request", request.id},
-                   {"target", target_id},
-                   {"rest_ms", milliseconds_text(seen.rest)},
-                   {"executed", seen.not_executed ? "0" : "unknown"}});
-        count_notice("rest");
-    }
-    if (!seen.leaving) {
+    record_rest(found->second, answer.rest, monotonic_now());
+    log_event(log_level::info, "target_wants_rest",
+              {{"request", request.id},
+               {"target", target_id},
+               {"rest_ms", milliseconds_text(answer.rest)},
+               {"executed", answer.not_executed ? "0" : "unknown"}});
+    count_notice("rest");
+}
+
+auto forward_job::note_leaving(int status, const answer_metadata& seen) -> void
+{
+    const auto found = state.view.targets.targets.find(target_id);
+    if (found == state.view.targets.targets.end() || !seen.leaving ||
+        !is_from_target(status, seen)) {
         return;
     }
     const auto known_since = found->second.leaving_since;
@@ -124,6 +132,7 @@
     answer = state.codec.decode_answer(head);
     answer_head = head;
     note_first_byte();
+    note_rest();
     const auto found = state.view.targets.targets.find(target_id);
     if (found != state.view.targets.targets.end() && head.status != misdirected) {
         found->second.answered_at = first_byte_at;
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -35,8 +35,8 @@
     }
 
     /// Publishes a target that has this one's address.
-    auto publish_as(fleet_fixture& fleet, const std::string& name, const std::string& service) const
-        -> void
+    auto publish_as(fleet_fixture& fleet, const std::string& name, const std::string& service,
+                    std::int64_t started_ms = 1) const -> void
     {
         fleet.store.put("servers/" + name,
                         nlohmann::json{{"backend", service},
@@ -44,6 +44,7 @@
                                        {"zone", "a"},
                                        {"capacity", 8},
                                        {"state", "ready"},
+                                       {"born", started_ms},
                                        {"cold_remaining_ms", 0}}
                             .dump());
     }
@@ -258,6 +259,37 @@
     CHECK_FALSE(known.at("app-2").leaving_since);
 }
 
+// Guards against a rest that a late copy of a refusal renews, although the target serves again.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: a late copy of a refusal does not renew the "
+                                 "target's rest")
+{
+    constexpr auto rest = "Retry-After: 0.2\r\n";
+    const auto busy = response("503 Busy", "first", std::string{"X-Not-Executed: 1\r\n"} + rest);
+    auto kept = std::size_t{0};
+    auto target = scripted_target{
+        *this, "app-1", "app", [&](const received_request& request) {
+            if (request.id == "first") {
+                request.connection->send(busy);
+                return;
+            }
+            kept = request.earlier;
+            request.connection->send(
+                busy + response("200 OK", request.id, "X-Server-Seal: s\r\n", "done"));
+        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    const auto& known = instances[0]->view().targets.targets;
+    wait([&] { return known.contains("app-1"); });
+    CHECK(ask("/book/1", 0, "key-1", "first").head.status == 503);
+    const auto rests_until = known.at("app-1").rests_until;
+    CHECK(rests_until > time_point{});
+    wait([&] { return monotonic_now() >= rests_until; });
+    CHECK(ask("/book/2", 0, "key-1", "second").head.status == 200);
+    CHECK(kept == 1);
+    CHECK(known.at("app-1").rests_until == rests_until);
+}
+
 namespace {
 
 /// Two targets, of which the one that gets the stream first breaks it off behind three events.
