Attribute what happens to an attempt to the start of the target that it was sent to

What callers could see: a target that had just started again was kept out of use for up to two minutes, or was held for a crash of its earlier start. Cause: while an attempt is in progress the store may list the target's next start under the same id. Load, rest, leaving, cold time and crash evidence of the attempt were recorded by id. Change: the attempt keeps the start time and address of its target; for another start only the number of requests in flight is counted down. Crash evidence names the start that was used.

--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -138,8 +138,9 @@
     }
     auto outgoing = outgoing_request{};
     target_address = chosen.published.address;
+    target_started_ms = chosen.published.started_ms;
     outgoing.address = target_address;
-    outgoing.peer = target_id + "/" + std::to_string(chosen.published.started_ms);
+    outgoing.peer = target_id + "/" + std::to_string(target_started_ms);
     outgoing.id = request.id;
     outgoing.head = state.codec.encode_request(exchange->head, metadata);
     outgoing.body = exchange->body;
@@ -245,6 +246,18 @@
     return true;
 }
 
+auto forward_job::attempted_target() const -> target*
+{
+    const auto found = state.view.targets.targets.find(target_id);
+    if (found == state.view.targets.targets.end()) {
+        return nullptr;
+    }
+    const auto& listed = found->second.published;
+    const auto same_start =
+        listed.started_ms == target_started_ms && listed.address == target_address;
+    return same_start ? &found->second : nullptr;
+}
+
 auto forward_job::release_target(target_outcome health) -> void
 {
     attempt_timer.reset();
@@ -257,7 +270,9 @@
     record_pressure(health);
     const auto found = state.view.targets.targets.find(target_id);
     if (found != state.view.targets.targets.end()) {
-        end_request(state.view.targets, found->second, health,
+        // requests in flight are kept over a restart, the state of health is not
+        const auto outcome = attempted_target() != nullptr ? health : target_outcome::cancelled;
+        end_request(state.view.targets, found->second, outcome,
                     service != nullptr ? service->cold_time : duration::zero(), monotonic_now());
     }
 }
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -97,6 +97,8 @@
     std::string target_id;
     /// Address of the target at the attempt's begin, "ip:port".
     std::string target_address;
+    /// Start time of the target at the attempt's begin, in milliseconds.
+    std::int64_t target_started_ms = 0;
     time_point attempt_begun{};
     answer_metadata answer;
     response_head answer_head;
@@ -236,6 +238,9 @@
     auto note_silence() -> void;
     /// Records for the fleet's record whether the target answered the attempt that ends.
     auto note_attempt_end(std::string_view cause, target_outcome health) -> void;
+    /// The target of the attempt, if the store still lists the start to which it was sent; null for
+    /// a later start, of which nothing that happens to the attempt holds.
+    auto attempted_target() const -> target*;
     /// Records the end of the attempt in the target table, once.
     auto release_target(target_outcome health) -> void;
     /// Sends the buffered answer of the target, which ended its attempt as `end`, to the caller.
--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -80,12 +80,12 @@
 
 auto forward_job::note_rest() -> void
 {
-    const auto found = state.view.targets.targets.find(target_id);
-    if (found == state.view.targets.targets.end() || answer.rest <= duration::zero() ||
+    auto* resting = attempted_target();
+    if (resting == nullptr || answer.rest <= duration::zero() ||
         !is_from_target(answer_head.status, answer)) {
         return;
     }
-    record_rest(found->second, answer.rest, monotonic_now());
+    record_rest(*resting, answer.rest, monotonic_now());
     log_event(log_level::info, "target_wants_rest",
               {{"request", request.id},
                {"target", target_id},
@@ -96,20 +96,19 @@
 
 auto forward_job::note_leaving(int status, const answer_metadata& seen) -> void
 {
-    const auto found = state.view.targets.targets.find(target_id);
-    if (found == state.view.targets.targets.end() || !seen.leaving ||
-        !is_from_target(status, seen)) {
+    auto* leaving = attempted_target();
+    if (leaving == nullptr || !seen.leaving || !is_from_target(status, seen)) {
         return;
     }
-    const auto known_since = found->second.leaving_since;
-    record_leaving(found->second, monotonic_now());
-    if (found->second.leaving_since != known_since) {
+    const auto known_since = leaving->leaving_since;
+    record_leaving(*leaving, monotonic_now());
+    if (leaving->leaving_since != known_since) {
         log_event(log_level::info, "target_says_leaving",
                   {{"request", request.id},
                    {"target", target_id},
-                   {"started", std::to_string(found->second.published.started_ms)},
+                   {"started", std::to_string(leaving->published.started_ms)},
                    {"status", std::to_string(status)},
-                   {"in_flight", std::to_string(found->second.in_flight)}});
+                   {"in_flight", std::to_string(leaving->in_flight)}});
         count_notice("leaving");
     }
 }
@@ -133,17 +132,17 @@
     answer_head = head;
     note_first_byte();
     note_rest();
-    const auto found = state.view.targets.targets.find(target_id);
-    if (found != state.view.targets.targets.end() && head.status != misdirected) {
-        found->second.answered_at = first_byte_at;
+    auto* answering = attempted_target();
+    if (answering != nullptr && head.status != misdirected) {
+        answering->answered_at = first_byte_at;
         if (answer.load) {
-            record_load(found->second, answer.load->running, answer.load->waiting, first_byte_at,
+            record_load(*answering, answer.load->running, answer.load->waiting, first_byte_at,
                         answer.load->pace.value_or(1));
         }
-        note_first_byte(found->second);
+        note_first_byte(*answering);
         if (answer.cold_remaining && *answer.cold_remaining > duration::zero()) {
-            found->second.cold_until =
-                std::max(found->second.cold_until, first_byte_at + *answer.cold_remaining);
+            answering->cold_until =
+                std::max(answering->cold_until, first_byte_at + *answer.cold_remaining);
         }
     }
     const auto success = head.status / 100 == 2;
@@ -259,10 +258,7 @@
 auto forward_job::note_crash() -> void
 {
     auto seen = target_crash{name_key(target_id), 0, monotonic_now(), keys};
-    const auto found = state.view.targets.targets.find(target_id);
-    if (found != state.view.targets.targets.end()) {
-        seen.incarnation = static_cast<incarnation_id>(found->second.published.started_ms);
-    }
+    seen.incarnation = static_cast<incarnation_id>(target_started_ms);
     auto key_texts = std::string{};
     for (const auto& key : keys) {
         key_texts += (key_texts.empty() ? "" : ",") + to_hex(key.id);
--- a/src/entry/forward_job_outcome.cpp
+++ b/src/entry/forward_job_outcome.cpp
@@ -74,21 +74,21 @@
 
 auto forward_job::note_silence() -> void
 {
-    const auto found = state.view.targets.targets.find(target_id);
-    if (!state.view.options.fleet_load || !in_flight || found == state.view.targets.targets.end() ||
+    auto* silent = attempted_target();
+    if (!state.view.options.fleet_load || !in_flight || silent == nullptr ||
         std::exchange(silence_noted, true)) {
         return;
     }
-    cyclamenpost::record_attempt(state.view.targets, found->second, false, monotonic_now());
+    cyclamenpost::record_attempt(state.view.targets, *silent, false, monotonic_now());
 }
 
 auto forward_job::note_attempt_end(std::string_view cause, target_outcome health) -> void
 {
-    const auto found = state.view.targets.targets.find(target_id);
+    auto* used = attempted_target();
     const auto now = monotonic_now();
     // a lack of memory here says nothing about the target
     if (!state.view.options.fleet_load || !in_flight || cause == "buffers_full" ||
-        found == state.view.targets.targets.end()) {
+        used == nullptr) {
         return;
     }
     const auto answered = health == target_outcome::succeeded || health == target_outcome::rejected;
@@ -97,7 +97,7 @@
     if (ended_here || (silence_noted && !answered)) {
         return;
     }
-    cyclamenpost::record_attempt(state.view.targets, found->second, answered, now);
+    cyclamenpost::record_attempt(state.view.targets, *used, answered, now);
 }
 
 auto forward_job::refusal_proof_name() const -> std::string_view
--- a/src/entry/forward_job_silence.cpp
+++ b/src/entry/forward_job_silence.cpp
@@ -41,16 +41,16 @@
         return longest_silence();
     }
     const auto now = monotonic_now();
-    const auto found = state.view.targets.targets.find(target_id);
+    const auto* used = attempted_target();
     auto input = silence_input{};
     input.usual =
         usual_answer_limit(state.answer_times, service->name, prompt_size_of(prompt_tokens()), now);
     input.objective = matched_route->latency_objective;
     input.passed = attempt_begun - arrived;
     input.longest = longest_silence();
-    if (found != state.view.targets.targets.end()) {
-        input.target_answers = found->second.answered_at > attempt_begun;
-        input.warming_up = is_cold(state.view.targets, found->second, now);
+    if (used != nullptr) {
+        input.target_answers = used->answered_at > attempt_begun;
+        input.warming_up = is_cold(state.view.targets, *used, now);
     }
     input.left_before = left_early;
     input.unanswered = state.answer_times[service->name].unanswered;
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -290,6 +290,38 @@
     CHECK(known.at("app-1").rests_until == rests_until);
 }
 
+// Guards against news of one start of a target that is recorded for its next start, which the store
+// lists while a request is at the first one.
+TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: what a target's earlier start says does not hold "
+                                 "for the next one")
+{
+    auto received = std::optional<received_request>{};
+    auto target = scripted_target{*this, "app-1", "app",
+                                  [&](const received_request& request) { received = request; }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    const auto& known = instances[0]->view().targets.targets;
+    wait([&] { return known.contains("app-1"); });
+    auto call = caller_call{};
+    send(call, "/book/1", 0, "key-1", "b1");
+    wait([&] { return received.has_value(); });
+    target.publish_as(*this, "app-1", "app", 2);
+    wait([&] { return known.at("app-1").published.started_ms == 2; });
+    received->connection->send(
+        response("503 Busy", "b1",
+                 "X-Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 5\r\n"
+                 "X-Cold-Ms: 9000\r\nX-Server-Load: 7,0,8\r\n"));
+    wait([&] { return call.ended(); });
+    CHECK(call.head.status == 503);
+    const auto& next_start = known.at("app-1");
+    CHECK_FALSE(next_start.leaving_since);
+    CHECK(next_start.rests_until == time_point{});
+    CHECK_FALSE(next_start.load);
+    CHECK(next_start.answered_at == time_point{});
+    CHECK(next_start.in_flight == 0);
+}
+
 namespace {
 
 /// Two targets, of which the one that gets the stream first breaks it off behind three events.
