Play copied refusals on real processes in the soak test

Cause: a target may send a duplicate of a genuine refusal late, while the same id is in progress again on that connection. The soak never met this: its targets refused only when they were full, and requests that pause and return need room. Targets refuse one id in ten once although a slot is free (503 with X-Not-Executed) and write a duplicate on the same connection, 1 to 400 ms later or while the request runs. Faults come every 50 to 950 ms instead of 1 to 100 ms, so that targets have room. The final check is unchanged. The soak prints genuine refusals, duplicates, and duplicates written while their id ran on that connection or on another one. Draws of other scenarios are unchanged: refusals have a generator of their own.

--- a/fakes/lib/process_target.cpp
+++ b/fakes/lib/process_target.cpp
@@ -1,5 +1,6 @@
 #include "process_target.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include <fcntl.h>
@@ -17,6 +18,29 @@
 constexpr std::size_t max_head_bytes = 65536;
 constexpr auto default_deadline_ms = 3000;
 constexpr auto max_copy_delay_ms = 300;
+constexpr auto max_duplicate_delay_ms = 400;
+constexpr auto mille = 1000U;
+constexpr auto percent = 100;
+
+auto open_to_append(const std::string& path) -> result<int>
+{
+    constexpr auto mode = 0644;
+    const auto file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
+    if (file < 0) {
+        return fail(error_id::listen_failed, step::listen, path, "the file cannot be written");
+    }
+    return file;
+}
+
+/// A line that is not written would hide a run or a refusal, so the target must not go on without
+/// it.
+auto write_line(int file, const std::string& text) -> void
+{
+    const auto line = text + "\n";
+    if (write(file, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+        abort();
+    }
+}
 
 auto field_text(const request_head& head, std::string_view name) -> std::string
 {
@@ -33,6 +57,11 @@
     return write_response_head(head, body_framing::length, body.size()) + std::string{body};
 }
 
+auto refusal_text(const std::string& id) -> std::string
+{
+    return answer_text(id, status_unavailable, {{"X-Not-Executed", "1"}}, {});
+}
+
 /// A complete stream with all its events.
 auto stream_text(const std::string& id) -> std::string
 {
@@ -53,24 +82,26 @@
 } // namespace
 
 process_target::process_target(event_loop& loop, process_target_options options)
-    : loop_(loop), options_(std::move(options)), random_(options_.seed)
+    : loop_(loop),
+      options_(std::move(options)),
+      random_(options_.seed),
+      refusal_random_(options_.seed)
 {}
 
 process_target::~process_target()
 {
-    if (runs_file_ >= 0) {
-        ::close(runs_file_);
+    for (const auto file : {runs_file_, refusals_file_}) {
+        if (file >= 0) {
+            ::close(file);
+        }
     }
 }
 
 auto process_target::start() -> result<void>
 {
-    constexpr auto mode = 0644;
-    runs_file_ =
-        ::open(options_.runs_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
-    if (runs_file_ < 0) {
-        return fail(error_id::listen_failed, step::listen, options_.runs_file,
-                    "the file cannot be written");
+    BOOST_LEAF_ASSIGN(runs_file_, open_to_append(options_.runs_file));
+    if (!options_.refusals_file.empty()) {
+        BOOST_LEAF_ASSIGN(refusals_file_, open_to_append(options_.refusals_file));
     }
     BOOST_LEAF_ASSIGN(listener_, tcp_listener::open(loop_, options_.address,
                                                     [this](tcp_connection accepted, const auto&) {
@@ -97,7 +128,6 @@
 
 auto process_target::draw_fault() -> bool
 {
-    constexpr auto mille = 1000U;
     return random_() % mille < options_.faults_per_mille;
 }
 
@@ -163,6 +193,10 @@
         refuse(next);
         return;
     }
+    if (running_ < options_.slots && refuses_despite_room(next.id)) {
+        refuse_despite_room(next);
+        return;
+    }
     waiting_.push_back(std::move(next));
     start_waiting();
 }
@@ -183,34 +217,90 @@
 
 auto process_target::refuse(const request& refused) -> void
 {
-    answer(refused, answer_text(refused.id, status_unavailable, {{"X-Not-Executed", "1"}}, {}));
+    answer(refused, refusal_text(refused.id));
 }
 
-auto process_target::run(request next) -> void
+auto process_target::refuses_despite_room(const std::string& id) -> bool
 {
-    const auto line = next.id + "\n";
-    // a line that is not written would hide a run, so the target must not go on without it
-    if (write(runs_file_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
-        abort();
+    // the id decides, not a draw: all targets refuse the same requests, so that these pause and
+    // return rather than go to another target
+    return refusals_file_ >= 0 &&
+           std::hash<std::string>{}(id) % mille < options_.refusals_per_mille &&
+           refused_despite_room_.insert(id).second;
+}
+
+auto process_target::refuse_despite_room(const request& refused) -> void
+{
+    record(refusal_event::refused, refused.id);
+    // half of the duplicates wait for the request to run, up to the longest delay; a delay that is
+    // drawn meets the run rarely
+    const auto at_run = refusal_random_() % 2 == 0;
+    const auto delay_ms = at_run ? max_duplicate_delay_ms
+                                 : 1 + static_cast<int>(refusal_random_() % max_duplicate_delay_ms);
+    duplicates_[refused.id] = {refused.from, at_run};
+    refuse(refused);
+    call_later(std::chrono::milliseconds{delay_ms},
+               [this, id = refused.id] { write_duplicate(id); });
+}
+
+auto process_target::write_duplicate(const std::string& id) -> void
+{
+    const auto pending = duplicates_.extract(id);
+    if (pending.empty() || pending.mapped().to->closed) {
+        return;
     }
+    auto& to = *pending.mapped().to;
+    to.tcp.send(refusal_text(id));
+    record(duplicate_event(to, id), id);
+}
+
+auto process_target::duplicate_event(const connection& to, const std::string& id) const
+    -> refusal_event
+{
+    if (to.running.contains(id)) {
+        return refusal_event::duplicate_during_run;
+    }
+    const auto runs = std::ranges::any_of(
+        connections_, [&](const auto& each) { return each->running.contains(id); });
+    return runs ? refusal_event::duplicate_during_other_run : refusal_event::duplicate;
+}
+
+auto process_target::record(refusal_event event, const std::string& id) -> void
+{
+    write_line(refusals_file_, std::string{name_in(refusal_event_names, event)} + " " + id);
+}
+
+auto process_target::run(request next) -> void
+{
+    write_line(runs_file_, next.id);
     ++running_;
+    next.from->running.insert(next.id);
+    const auto pending = duplicates_.find(next.id);
+    if (pending != duplicates_.end() && pending->second.awaits_run) {
+        constexpr auto max_run_delay_ms = 30U;
+        call_later(std::chrono::milliseconds{1 + refusal_random_() % max_run_delay_ms},
+                   [this, id = next.id] { write_duplicate(id); });
+    }
     if (draw_fault()) {
         lose_answer(next);
         return;
     }
     const auto mean_ms = static_cast<int>(
         std::chrono::duration_cast<std::chrono::milliseconds>(options_.work).count());
-    call_later(draw_delay(mean_ms / 2, mean_ms * 3 / 2 + 1), [this, done = std::move(next)] {
+    const auto least_ms = mean_ms * (percent - options_.work_spread_percent) / percent;
+    const auto most_ms = mean_ms * (percent + options_.work_spread_percent) / percent;
+    call_later(draw_delay(least_ms, most_ms + 1), [this, done = std::move(next)] {
         const auto streams = find_field(done.head.fields, "X-Prompt-Prefix").has_value();
         answer(done, streams ? stream_text(done.id)
                              : answer_text(done.id, status_ok, {{"X-Server-Seal", "seal"}},
                                            "answer of " + options_.id + " to " + done.body));
-        end_run();
+        end_run(done);
     });
 }
 
-auto process_target::end_run() -> void
+auto process_target::end_run(const request& ended) -> void
 {
+    ended.from->running.erase(ended.id);
     --running_;
     start_waiting();
 }
@@ -254,7 +344,7 @@
                 break;
             }
         }
-        end_run();
+        end_run(lost);
     });
 }
 
--- a/fakes/lib/sample_configuration.cpp
+++ b/fakes/lib/sample_configuration.cpp
@@ -23,7 +23,7 @@
             {"prefix", std::string{"/"} + options.name + "/"},
             {"route_type", options.route_type},
             {"timeout_ms", sample.timeout_ms},
-            {"slo_ms", 400},
+            {"slo_ms", sample.objective_ms},
             {"priority", 1},
             {"backend", options.service},
             {"max_attempts", options.max_attempts},
--- a/fakes/lib/sample_configuration.hpp
+++ b/fakes/lib/sample_configuration.hpp
@@ -16,6 +16,8 @@
     /// Whether the list of organisations has an entry; it is there in any case.
     bool with_organisation = true;
     int timeout_ms = 4000;
+    /// Latency objective of all routes.
+    int objective_ms = 400;
     int max_connections = 9;
     double cold_start_seconds = 1.0;
     /// Whether the text has a `limits` member; otherwise the defaults of the instance apply.
--- a/fakes/lib/soak_fleet.cpp
+++ b/fakes/lib/soak_fleet.cpp
@@ -17,6 +17,9 @@
 // time limits of the routes; a change applies to requests that arrive later
 constexpr auto long_timeout_ms = 3000;
 constexpr auto short_timeout_ms = 700;
+// the same with `refusals`: the bounds of the callers' time limits there
+constexpr auto least_limit_ms = 1000;
+constexpr auto most_limit_ms = 4000;
 constexpr duration pause_duration = std::chrono::milliseconds{1500};
 
 } // namespace
@@ -46,8 +49,8 @@
     BOOST_LEAF_CHECK(store_.listen("127.0.0.1:0"));
     publish_configuration();
     if (options_.faults == soak_faults::processes) {
-        processes_ =
-            std::make_unique<target_processes>(loop_, store_, directory_, options_.seed * 1000);
+        processes_ = std::make_unique<target_processes>(loop_, store_, directory_,
+                                                        options_.seed * 1000, options_.refusals);
     }
     for (auto index = 0; index < options_.targets; ++index) {
         const auto zone = index % 2 == 0 ? "a" : "b";
@@ -131,6 +134,10 @@
     sample.host = "soak.example";
     sample.api_keys = {api_key(), "always"};
     sample.timeout_ms = short_timeouts_ ? short_timeout_ms : long_timeout_ms;
+    if (options_.refusals) {
+        sample.timeout_ms = short_timeouts_ ? least_limit_ms : most_limit_ms;
+    }
+    sample.objective_ms = static_cast<int>(options_.objective.count());
     sample.max_connections = 50;
     sample.cold_start_seconds = 0.5;
     sample.with_limits = false;
@@ -364,6 +371,11 @@
     return processes_ ? processes_->run_counts() : std::map<std::string, int>{};
 }
 
+auto soak_fleet::refusals_of_processes() const -> refusal_counts
+{
+    return processes_ ? processes_->refusals() : refusal_counts{};
+}
+
 auto soak_fleet::instances() const -> const std::vector<soak_instance>&
 {
     return instances_;
--- a/fakes/lib/soak_fleet.hpp
+++ b/fakes/lib/soak_fleet.hpp
@@ -47,6 +47,13 @@
     int applications = 3;
     int callers = 12;
     soak_faults faults = soak_faults::all;
+    /// Targets that are processes refuse some requests despite free slots and send duplicates of
+    /// these refusals.
+    bool refusals = false;
+    /// Latency objective of all routes.
+    std::chrono::milliseconds objective{400};
+    /// Time limit of callers, with `refusals`; zero: drawn for each request.
+    std::chrono::milliseconds caller_limit{0};
 };
 
 /// An entry instance in its own process. It reaches the store through a fault proxy. `front`,
@@ -101,6 +108,9 @@
     /// How often each request ran at targets in processes of their own.
     auto run_counts_of_processes() const -> std::map<std::string, int>;
 
+    /// How often targets in processes of their own refused despite free slots.
+    auto refusals_of_processes() const -> refusal_counts;
+
     /// The API key that the present configuration accepts besides "always".
     auto api_key() const -> std::string;
 
--- a/fakes/lib/target_processes.cpp
+++ b/fakes/lib/target_processes.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "cyclamenpost/transport/tcp.hpp"
+#include "process_target.hpp"
 
 namespace cyclamenpost::fakes {
 
@@ -24,6 +25,8 @@
 // ports between the first ones of two soaks that are started one after the other; a small soak
 // takes about fifty
 constexpr auto ports_apart = 331;
+// a share that gives a run of 12 s more than a hundred requests that pause and return
+constexpr auto refusals_per_mille = "100";
 
 auto draw_ms(std::mt19937_64& random, unsigned least, unsigned most) -> duration
 {
@@ -31,8 +34,12 @@
 }
 
 /// Arguments of a target that depend on its service.
-auto service_arguments(const std::string& service) -> std::vector<std::string>
+auto service_arguments(const std::string& service, bool refusals) -> std::vector<std::string>
 {
+    if (refusals) {
+        // the size of the deployments in which refused requests ran; work takes 30 to 60 ms
+        return {"--slots", "6", "--queue", "24", "--work-ms", "45", "--work-spread", "33"};
+    }
     if (service == "app") {
         return {"--slots", "6", "--queue", "24", "--work-ms", "60"};
     }
@@ -82,8 +89,12 @@
 }
 
 target_processes::target_processes(event_loop& loop, fake_store& store, std::string directory,
-                                   std::uint64_t seed)
-    : loop_(loop), store_(store), directory_(std::move(directory)), next_seed_(seed)
+                                   std::uint64_t seed, bool refusals)
+    : loop_(loop),
+      store_(store),
+      directory_(std::move(directory)),
+      next_seed_(seed),
+      refusals_(refusals)
 {}
 
 target_processes::~target_processes()
@@ -94,6 +105,7 @@
             waitpid(target.pid, nullptr, 0);
         }
         unlink((directory_ + "/runs-" + target.address).c_str());
+        unlink(refusals_path(target).c_str());
     }
 }
 
@@ -128,11 +140,20 @@
     if (faults_cleared_) {
         arguments.insert(arguments.end(), {"--faults-per-mille", "0", "--idle-ms", "60000"});
     }
-    std::ranges::copy(service_arguments(target.service), std::back_inserter(arguments));
+    else if (refusals_) {
+        arguments.insert(arguments.end(), {"--refusals", refusals_path(target),
+                                           "--refusals-per-mille", refusals_per_mille});
+    }
+    std::ranges::copy(service_arguments(target.service, refusals_), std::back_inserter(arguments));
     target.pid = spawn_program(std::move(arguments), "soak-targets.log");
     target.paused = false;
 }
 
+auto target_processes::refusals_path(const process& target) const -> std::string
+{
+    return directory_ + "/refusals-" + target.address;
+}
+
 auto target_processes::publish(const process& target) -> void
 {
     store_.put("servers/" + target.id,
@@ -140,7 +161,7 @@
                               {"address", target.proxy ? target.proxy->address() : target.address},
                               {"zone", target.zone},
                               {"version", "v1"},
-                              {"capacity", target.service == "app" ? 6 : 12},
+                              {"capacity", target.service == "app" || refusals_ ? 6 : 12},
                               {"state", "ready"},
                               {"seq", 1},
                               {"cold_remaining_ms", 0},
@@ -264,4 +285,22 @@
     return counts;
 }
 
+auto target_processes::refusals() const -> refusal_counts
+{
+    auto counts = refusal_counts{};
+    for (const auto& target : processes_) {
+        auto file = std::ifstream{refusals_path(target)};
+        for (auto kind = std::string{}, id = std::string{}; file >> kind >> id;) {
+            const auto is = [&](refusal_event event) {
+                return kind == name_in(refusal_event_names, event) ? 1 : 0;
+            };
+            counts.refused += is(refusal_event::refused);
+            counts.duplicates += 1 - is(refusal_event::refused);
+            counts.during_run += is(refusal_event::duplicate_during_run);
+            counts.during_other_run += is(refusal_event::duplicate_during_other_run);
+        }
+    }
+    return counts;
+}
+
 } // namespace cyclamenpost::fakes
--- a/fakes/lib/target_processes.hpp
+++ b/fakes/lib/target_processes.hpp
@@ -21,15 +21,28 @@
 /// Starts a program whose standard output goes to the end of a file. Returns its process id, or -1.
 auto spawn_program(std::vector<std::string> arguments, const std::string& output) -> pid_t;
 
+/// Number of genuine refusals of targets, and of their duplicates.
+struct refusal_counts {
+    /// Requests that a target refused although a slot was free.
+    int refused = 0;
+    /// Duplicates of such refusals, written at any time.
+    int duplicates = 0;
+    /// Duplicates written while a request with their id was running on that connection.
+    int during_run = 0;
+    /// Duplicates written while a request with their id was running on another connection.
+    int during_other_run = 0;
+};
+
 /// The targets of a soak test, each in a process of its own, with the faults that befall processes:
 /// they are paused, and they end one by one or many at once and come back at their address, mostly
 /// under another id. Every second one is reached through a proxy, whose link delays or loses bytes
 /// for a time. Ends only processes that it started.
 class target_processes {
 public:
-    /// `directory` holds the files with the requests that ran.
-    target_processes(event_loop& loop, fake_store& store, std::string directory,
-                     std::uint64_t seed);
+    /// `directory` holds the files with the requests that ran. With `refusals`, targets refuse some
+    /// requests despite free slots and send duplicates of these refusals.
+    target_processes(event_loop& loop, fake_store& store, std::string directory, std::uint64_t seed,
+                     bool refusals);
     target_processes(const target_processes&) = delete;
     auto operator=(const target_processes&) -> target_processes& = delete;
     ~target_processes();
@@ -50,6 +63,9 @@
     /// How often each request ran.
     auto run_counts() const -> std::map<std::string, int>;
 
+    /// How often targets refused despite free slots, and how often they sent that twice.
+    auto refusals() const -> refusal_counts;
+
 private:
     struct process {
         std::string id;
@@ -64,6 +80,7 @@
     };
 
     auto spawn(process& target) -> void;
+    auto refusals_path(const process& target) const -> std::string;
     auto publish(const process& target) -> void;
     auto end(process& target, duration absence) -> void;
     auto end_most(const std::string& service, std::mt19937_64& random) -> std::string;
@@ -75,6 +92,7 @@
     fake_store& store_;
     std::string directory_;
     std::uint64_t next_seed_;
+    bool refusals_;
     int next_id_ = 1;
     std::list<process> processes_;
     bool faults_cleared_ = false;
--- a/fakes/soak.cpp
+++ b/fakes/soak.cpp
@@ -15,6 +15,8 @@
 constexpr auto max_connections = 16'384U;
 constexpr duration restart_period = std::chrono::milliseconds{200};
 constexpr duration request_timeout = std::chrono::milliseconds{3500};
+// with refusals the time limits of callers are drawn up to 4 s
+constexpr duration long_request_timeout = std::chrono::milliseconds{4500};
 // callers must be served again within this time after the last fault (the users' bound is 12 s)
 constexpr duration max_recovery_time = std::chrono::seconds{12};
 
@@ -112,8 +114,17 @@
 }
 
 /// Bookings at targets in processes of their own have the short time limit of the large deployment.
-auto deadline_ms_of(const soak_caller& caller, soak_faults faults) -> std::string
+/// With refusals, limits are 1 to 4 s, so that requests have time to pause and return.
+auto deadline_ms_of(const soak_caller& caller, const soak_options& options, std::mt19937_64& random)
+    -> std::string
 {
+    constexpr auto least_ms = 1000U;
+    constexpr auto span_ms = 3001U;
+    if (options.refusals) {
+        return options.caller_limit.count() > 0 ? std::to_string(options.caller_limit.count())
+                                                : std::to_string(least_ms + random() % span_ms);
+    }
+    const auto faults = options.faults;
     return faults == soak_faults::processes && caller.route == "book" ? "800" : "3000";
 }
 
@@ -134,12 +145,13 @@
     caller.sent_at = monotonic_now();
     auto request = outgoing_request{};
     request.address = fleet.instances()[caller.instance].front;
-    request.fresh_connection = random() % 3 == 0;
+    const auto fresh = random() % 3 == 0;
+    request.fresh_connection = fresh && !options.refusals;
     request.head.method = caller.route == "read" ? "GET" : "POST";
     request.head.target = "/" + caller.route + "/" + caller.id;
     request.head.fields = {{"Host", "soak.example"},
                            {"X-Attempt-Id", caller.id},
-                           {"X-Deadline-Ms", deadline_ms_of(caller, options.faults)},
+                           {"X-Deadline-Ms", deadline_ms_of(caller, options, later_random)},
                            {"X-Api-Key", "always"}};
     if (is_stream(caller)) {
         request.head.fields.push_back(
@@ -162,7 +174,8 @@
         send_later(caller);
         return;
     }
-    caller.timeout = loop.call_after(request_timeout, [this, &caller] {
+    const auto timeout = options.refusals ? long_request_timeout : request_timeout;
+    caller.timeout = loop.call_after(timeout, [this, &caller] {
         caller.exchange.cancel();
         end_request(caller, false);
     });
@@ -226,8 +239,10 @@
     std::cout << "fault " << fault << std::endl;
     constexpr auto max_fault_gap_ms = 900;
     constexpr auto max_short_gap_ms = 100;
-    const auto gap_ms = options.faults == soak_faults::all ? 50 + random() % max_fault_gap_ms
-                                                           : 1 + random() % max_short_gap_ms;
+    // with refusals, targets need time in which they have room between the faults
+    const auto long_gaps = options.faults == soak_faults::all || options.refusals;
+    const auto gap_ms =
+        long_gaps ? 50 + random() % max_fault_gap_ms : 1 + random() % max_short_gap_ms;
     fault_timer = loop.call_after(std::chrono::milliseconds{gap_ms}, [this] { inject_fault(); });
 }
 
@@ -254,6 +269,13 @@
     std::cout << "requests " << last_request_number << ", ran " << runs.size() << ", may run once "
               << once.size() << ", refused " << refused.size() << ", ran twice " << ran_twice
               << ", refused and ran " << refused_and_ran << std::endl;
+    if (options.refusals) {
+        const auto refusals = fleet.refusals_of_processes();
+        std::cout << "genuine refusals " << refusals.refused << ", duplicates "
+                  << refusals.duplicates << ", while their id ran on that connection "
+                  << refusals.during_run << ", on another connection " << refusals.during_other_run
+                  << std::endl;
+    }
 }
 
 auto soak::report() -> int
@@ -334,6 +356,17 @@
         "", "applications", "targets of the service app, with --processes", false, 3, "N", line};
     auto processes = TCLAP::SwitchArg{
         "", "processes", "run targets as processes and inject only faults of processes", line};
+    auto refusals = TCLAP::SwitchArg{
+        "", "refusals",
+        "with --processes: targets refuse requests despite free slots and send duplicates of these "
+        "refusals",
+        line};
+    auto objective = TCLAP::ValueArg<int>{
+        "", "objective-ms", "latency objective of the routes", false, 400, "MS", line};
+    auto caller_limit = TCLAP::ValueArg<int>{
+        "",    "limit-ms", "time limit of callers, with --refusals; 0: drawn from 1 to 4 s",
+        false, 0,          "MS",
+        line};
     line.parse(argc, argv);
     auto options = soak_options{};
     options.program = program.getValue();
@@ -343,6 +376,9 @@
     options.callers = callers.getValue();
     options.targets = targets.getValue();
     options.applications = applications.getValue();
+    options.refusals = processes.getValue() && refusals.getValue();
+    options.objective = std::chrono::milliseconds{objective.getValue()};
+    options.caller_limit = std::chrono::milliseconds{caller_limit.getValue()};
     options.faults = processes.getValue()      ? soak_faults::processes
                      : lost_answers.getValue() ? soak_faults::lost_answers
                                                : soak_faults::all;
--- a/fakes/soak_target.cpp
+++ b/fakes/soak_target.cpp
@@ -30,6 +30,15 @@
     auto idle = TCLAP::ValueArg<int>{
         "",   "idle-ms", "time after which connections at rest are forgotten", false, 1000,
         "MS", line};
+    auto spread = TCLAP::ValueArg<int>{
+        "",        "work-spread", "largest deviation of a run's time from the mean", false, 50,
+        "PERCENT", line};
+    auto refusals = TCLAP::ValueArg<std::string>{
+        "",     "refusals", "file to which refusals despite free slots are appended", false, "",
+        "PATH", line};
+    auto refusal_share = TCLAP::ValueArg<unsigned>{
+        "",  "refusals-per-mille", "ids that are refused once despite free slots", false, 0, "N",
+        line};
     line.parse(argc, argv);
     auto options = process_target_options{};
     options.id = id.getValue();
@@ -42,6 +51,9 @@
     options.max_connections = connections.getValue();
     options.faults_per_mille = faults.getValue();
     options.idle_limit = std::chrono::milliseconds{idle.getValue()};
+    options.work_spread_percent = spread.getValue();
+    options.refusals_file = refusals.getValue();
+    options.refusals_per_mille = refusal_share.getValue();
     auto loop = event_loop{};
     auto target = process_target{loop, options};
     const auto started =
