Test a target that sends bytes without end against a real process

Cause: operators of similar systems reported a process that kept all bytes of a faulty target and ran out of memory.

--- a/tests/cases/crowd.py
+++ b/tests/cases/crowd.py
@@ -137,14 +137,16 @@
     return False
 
 
-async def small_fleet(record):
-    """One instance and two targets; bodies may have 1 MiB."""
+async def small_fleet(record, more_routes=(), more_services=()):
+    """One instance and two targets; bodies may have 1 MiB. Targets of further services are added
+    by the test."""
     fleet = Fleet(record, ["a"])
     fleet.instances = [LimitedInstance(fleet, 1, "a")]
     fleet.store.put("op/config", configuration(
         7, [route("book", "/book/", "non_idempotent", "app", timeout_ms=12000),
-            route("chat", "/chat/", "streaming", "app", timeout_ms=12000)],
-        [service("app")], limits={"max_body_bytes": 1 << 20}))
+            route("chat", "/chat/", "streaming", "app", timeout_ms=12000),
+            *more_routes],
+        [service("app"), *more_services], limits={"max_body_bytes": 1 << 20}))
     for number in range(2):
         target = Target(record, f"i-{number}", "app", "a", 0.01)
         await target.listen("127.0.0.1")
