--- a/include/cyclamenpost/entry/platform_codec.hpp
+++ b/include/cyclamenpost/entry/platform_codec.hpp
@@ -77,6 +77,11 @@
     bool load_unreadable = false;
     /// Time for which the target remains cold.
     std::optional<duration> cold_remaining;
+    /// Requests per second that the target takes from all instances together.
+    std::optional<double> limit;
+    /// The target named a limit that cannot be read. Without another one the answer says nothing of
+    /// a limit, neither that there is one nor that there is none.
+    bool limit_unreadable = false;
 };
 
 /// Kinds of store items.
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -197,6 +197,8 @@
     /// Records that the target wants rest. Only the answer to the attempt counts: the time would be
     /// counted from the arrival of a late copy.
     auto note_rest() -> void;
+    /// Records the requests per second that the target takes from all instances.
+    auto note_limit() -> void;
     /// Whether the answer comes from the target of the attempt.
     auto is_from_target(int status, const answer_metadata& seen) const -> bool;
     auto count_notice(std::string_view notice) -> void;
--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -94,6 +94,22 @@
     count_notice("rest");
 }
 
+auto forward_job::note_limit() -> void
+{
+    if (!is_from_target(answer_head.status, answer)) {
+        return;
+    }
+    if (answer.limit) {
+        count_notice("limit");
+    }
+    if (answer.limit_unreadable) {
+        count_notice("limit_unreadable");
+        if (sample_line(state.sampler, first_byte_at)) {
+            log_event(log_level::warning, "limit_unreadable", {{"target", target_id}});
+        }
+    }
+}
+
 auto forward_job::note_leaving(int status, const answer_metadata& seen) -> void
 {
     auto* leaving = attempted_target();
@@ -132,6 +148,7 @@
     answer_head = head;
     note_first_byte();
     note_rest();
+    note_limit();
     auto* answering = attempted_target();
     if (answering != nullptr && head.status != misdirected) {
         answering->answered_at = first_byte_at;
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -108,6 +108,7 @@
             {"X-Server-Load", "3,4,12,250"},
             {"X-Cold-Ms", "1500"},
             {"Retry-After", "1.5"},
+            {"Server-Limit", "4.2"},
             {"Server-Leaving", "1"},
             {"Content-Type", "text/event-stream"}};
 }
--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -174,6 +174,37 @@
     CHECK(decode_answer(head).leaving);
 }
 
+// Guards against a limit that is missed, and against a malformed one that is taken for a limit or
+// for the end of one.
+TEST_CASE("platform_adapter: a target names the requests that it takes per second")
+{
+    const auto answer_with = [](const std::vector<std::string>& values) {
+        auto head = response_head{};
+        for (const auto& value : values) {
+            head.fields.push_back({"Server-Limit", value});
+        }
+        return decode_answer(head);
+    };
+    CHECK_FALSE(answer_with({}).limit);
+    CHECK_FALSE(answer_with({}).limit_unreadable);
+    for (const auto& [text, rate] :
+         {std::pair{"4.2", 4.2}, {"4", 4.0}, {"0", 0.0}, {"0.25", 0.25}, {"1e3", 1000.0}}) {
+        CAPTURE(text);
+        CHECK(answer_with({text}).limit == doctest::Approx(rate));
+        CHECK_FALSE(answer_with({text}).limit_unreadable);
+    }
+    for (const auto* text : {"", "-1", "-0.1", "inf", "-inf", "nan", "1e400", "four",
+                             "4 per second", "4,2", "0x4", "+4"}) {
+        CAPTURE(text);
+        CHECK_FALSE(answer_with({text}).limit);
+        CHECK(answer_with({text}).limit_unreadable);
+    }
+    CHECK(answer_with({"40", "4"}).limit == doctest::Approx(4));
+    CHECK(answer_with({"4", "40"}).limit == doctest::Approx(4));
+    CHECK(answer_with({"nan", "4"}).limit == doctest::Approx(4));
+    CHECK(answer_with({"nan", "4"}).limit_unreadable);
+}
+
 // Guards against an absurd number of a caller or a target that overflows a time.
 TEST_CASE("platform_adapter: times in headers are bounded")
 {
