Bound the idle connections that a repeated id leaves

What callers could see: no request was served any more on an instance while one caller repeated one id. Change: of the idle connections that have carried the id a request passes over at most four and closes the others. The id of the last request is no longer held by an idle connection, and counted while it is.

--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -24,6 +24,9 @@
 // a connection with an ordinary head goes on while few others hold much
 constexpr std::size_t small_connection_bytes = 8192;
 constexpr std::size_t max_skipped_responses = 16;
+// idle connections to a peer that one request may pass over; a caller that repeats one id would
+// otherwise add a connection with each request
+constexpr std::size_t max_passed_over = 4;
 constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 
 auto failure_of(close_reason reason) -> exchange_failure
@@ -165,7 +168,7 @@
     if (!owner) {
         return true;
     }
-    const auto held = connection_bytes + parser->held_bytes() + tcp.held_bytes() +
+    const auto held = connection_bytes + parser->held_bytes() + tcp.held_bytes() + id.capacity() +
                       carried_ids.capacity() * sizeof(std::uint64_t);
     auto& memory = owner->memory;
     memory.used += held - counted_bytes;
@@ -340,6 +343,7 @@
 auto client_connection::end_exchange(bool more_bytes) -> void
 {
     busy = false;
+    id = {};
     const auto events = std::exchange(handlers, {});
     const auto owner = pool.lock();
     if (owner && more_bytes) {
@@ -404,13 +408,14 @@
         // pending input is a close that has not been handled yet, or a late copy of a response
         const auto usable = candidate.tcp && now - candidate.idle_since < candidate.idle_limit &&
                             !candidate.tcp.has_input();
-        if (usable && candidate.has_carried(id)) {
+        const auto carried = candidate.has_carried(id);
+        if (usable && carried && passed_over < max_passed_over) {
             ++passed_over;
             continue;
         }
         auto connection = std::move(*next);
         next = kept.erase(next);
-        if (usable) {
+        if (usable && !carried) {
             return connection;
         }
         connection->tcp.close();
--- a/tests/unit-http1_client.cpp
+++ b/tests/unit-http1_client.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "cyclamenpost/transport/http1_client.hpp"
@@ -289,8 +291,54 @@
     CHECK(other.exchange.reused());
 }
 
-// Guards against a connection that forgets ids, or remembers them without a bound.
-TEST_CASE_FIXTURE(call_test, "http1_client: a connection is closed after its most requests")
+// Guards against a connection that remembers only the newest ids.
+TEST_CASE_FIXTURE(call_test, "http1_client: a connection remembers all ids that it has carried")
+{
+    constexpr auto many = max_connection_requests - 1;
+    for (std::size_t sent = 0; sent < many; ++sent) {
+        auto each = observed_call{};
+        const auto id = std::to_string(sent);
+        received.clear();
+        each.send(client, address, id);
+        REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+        accepted.back().send("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(loop.run_until([&] { return each.ended(); }, limit));
+    }
+    REQUIRE(accepted.size() == 1);
+    for (std::size_t earlier = 0; earlier < many; ++earlier) {
+        auto again = observed_call{};
+        again.send(client, address, std::to_string(earlier));
+        REQUIRE_FALSE(again.exchange.reused());
+        REQUIRE(again.exchange.record().passed_over == 1);
+    }
+}
+
+// Guards against a caller that repeats one id and thereby uses up the descriptors of the process:
+// no idle connection may carry its next request.
+TEST_CASE_FIXTURE(call_test, "http1_client: a repeated id leaves few idle connections")
+{
+    constexpr auto repeats = 40;
+    constexpr auto most_open = 6;
+    const auto response = std::string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"};
+    for (auto sent = 0; sent < repeats; ++sent) {
+        auto each = observed_call{};
+        received.clear();
+        each.send(client, address, "a");
+        REQUIRE(loop.run_until([&] { return received.ends_with("body"); }, limit));
+        accepted.back().send(response);
+        REQUIRE(loop.run_until([&] { return each.ended(); }, limit));
+    }
+    const auto open = [&] {
+        return std::ranges::count_if(accepted, [](const auto& each) { return each.connected(); });
+    };
+    // shorter than the idle limit, after which connections are closed anyway
+    CHECK(loop.run_until([&] { return open() <= most_open; }, std::chrono::seconds{2}));
+    CHECK(client.counters().opened == repeats);
+}
+
+// Guards against ids that are remembered without a bound.
+TEST_CASE_FIXTURE(call_test,
+                  "http1_client: a connection is closed after its maximum number of requests")
 {
     for (std::size_t sent = 0; sent < max_connection_requests; ++sent) {
         auto each = observed_call{};
