Divide target limits among the instances by turns

Change: routing/target_limit keeps the lowest value of the last 4 s (at most 4.5 s, in nine parts) and computes the turns of an instance in whole nanoseconds. Three parts of the design change, because tests failed without them: - The validity of a turn is 1.5 s + 1 / L. 1 s + 3 / L used 71 to 72% of L = 40 at 1.2 requests per second and instance; 1.5 s + 2 / L exceeded the bound by one request while members disagreed (13 of 12.2, 31 of 30.2). - Turns from before a change of the limit or of the members are gone; the new field fleet_position::since tells of the members. Without it 33 requests passed where 30 are allowed. - After a change of the limit, an instance skips turns that come sooner than its interval after its last one. Without it, 50 requests passed where 29 are allowed when each answer changed the limit. An announcement older than the last one but within the window can lower the limit. used_until is in nanoseconds instead of a double of seconds.

Nothing calls the module yet.

--- a/include/cyclamenpost/routing/target_limit.hpp
+++ b/include/cyclamenpost/routing/target_limit.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -18,19 +20,37 @@
 /// Time for which the lowest announced limit applies when a target announces several.
 inline constexpr duration limit_window = std::chrono::seconds{4};
 
+/// Length of the parts of the window. A value applies until the end of the part in which it leaves
+/// the window, so up to one part longer than the window.
+inline constexpr duration limit_window_part = limit_window / 8;
+
 /// What is known of the limit that one start of a target has announced: the requests per second
-/// that it takes from all instances together.
+/// that it takes from all instances together. Values are kept in thousandths, as in the load
+/// reports, because instances agree on the turns only if their limits are equal.
 struct target_limit {
-    /// Lowest values announced since `window_begun`, and in the window before; unset without one.
-    std::optional<double> lowest;
-    std::optional<double> lowest_before;
-    time_point window_begun{};
+    /// Lowest value announced in each part of the window, at the part's number modulo the size; 0
+    /// without one.
+    std::array<std::int64_t, limit_window / limit_window_part + 1> lowest{};
+    /// Number of the newest part with a value: its time divided by the length of a part.
+    std::int64_t newest_part = 0;
+    /// Value announced last; it applies until it is revoked, also after the window.
+    std::int64_t latest = 0;
+    /// Value of the last change that `note_limit` returned.
+    std::int64_t reported = 0;
     /// When a limit was last announced; unset when none applies.
     std::optional<time_point> announced_at;
     /// Newest time as of which no limit applied.
     time_point ended_at{};
-    /// Turns up to this time on the shared clock have been used, in seconds.
-    double used_until = 0;
+    /// Time of the last `note_limit` that changed the limit. Earlier turns are gone: without this,
+    /// each change of the limit would admit the requests of a whole validity again.
+    time_point turns_from{};
+    /// Turns up to this time on the shared clock have been used.
+    std::chrono::nanoseconds used_until{};
+    /// Time between two turns of this instance when it used the last one. After a change of the
+    /// limit, a turn that comes sooner is skipped: if each answer changes the limit, the next turn
+    /// would otherwise come after half of this time on average, and the fleet would send twice as
+    /// much.
+    std::chrono::nanoseconds used_interval{};
 };
 
 /// What an announcement changed.
@@ -45,8 +65,11 @@
 
 /// Records what an answer to this instance or to another one announced: a limit in requests per
 /// second, or none. `as_of` is the time of the answer for a limit, and the beginning of the attempt
-/// for an answer without one, which ends only limits that were announced before. Older news than
-/// what is known changes nothing. `changed` means by more than a tenth.
+/// for an answer without one, which ends only limits that were announced before. News from before
+/// the last end changes nothing. An announcement that is older than the last one but within the
+/// window can still lower the limit: otherwise an instance that heard 40 from its own answer would
+/// ignore the 4 that another one heard a second earlier. Negative values, NaN and infinity are
+/// ignored. `changed` means by more than a tenth since the last change returned.
 auto note_limit(target_limit& limit, std::optional<double> announced, time_point as_of,
                 time_point now) -> limit_change;
 
@@ -61,16 +84,27 @@
     std::size_t members = 0;
     /// Added to the monotonic time for a clock that the instances have in common.
     duration clock_offset{};
+    /// When this instance last changed its rank or the number of members. Earlier turns are gone:
+    /// their former owners may have used them.
+    time_point since{};
 };
 
+/// Time for which a turn remains usable: 1.5 s + 1 / limit. In 4 s at most (4 s + validity) x limit
+/// + 1 = 5.5 x limit + 2 requests pass; the rest up to 6 x limit + 5 is for clocks, transit and
+/// members that disagree. 1 s + 3 / limit used only 72% of a limit of 40 per second at 1.2 requests
+/// per second and instance; 1.5 s + 2 / limit exceeded the bound by one request when members
+/// disagreed.
+auto turn_validity(double limit) -> duration;
+
 /// Whether a request may be sent to a target now. A limit is divided into turns: turn j is at time
 /// j / limit on the shared clock and belongs to the instance whose rank, rotated by the target's
 /// key, is j modulo the number of members. A turn lets one request through, at its time or up to
-/// 1 s + 3 / limit later. Without a limit any request may be sent; an instance that does not know
-/// the number of members has no turn.
+/// `turn_validity` later. Turns from before the limit or the position last changed are gone.
+/// Without a limit any request may be sent; an instance that does not know the number of members
+/// has no turn.
 ///
 /// Load pattern: a target under pressure announces 1 to 5 requests per second, while 8 to 390
-/// instances send it requests. In any 4 s at most 5 x limit + 4 requests pass.
+/// instances send it requests. In any 4 s at most 5.5 x limit + 2 requests pass.
 auto has_turn(const target_limit& limit, const fleet_position& position, std::uint32_t target_key,
               time_point now) -> bool;
 
