Send a target no more requests than the limit that it announces

Cause: the limit was read and decided nothing. It is one allowance of the whole fleet, and no instance can ask the others before each request. Change: a target with a limit gets requests of an instance only in the instance's own turns (routing/target_limit). Without a turn a request goes to another target. If all targets are limited it waits when a turn comes in time for its objective, and is refused at once otherwise (all_limited); its Retry-After follows from the capacity that the limits leave, which admission counts. The limit belongs to one start of a target and ends with an answer without it, to an attempt begun later. A log line, a gauge and a counter show limits.

--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -57,12 +57,13 @@
 };
 
 /// Why no target was chosen; a later reason takes precedence over an earlier one.
-enum class no_target_reason { none, service_empty, all_cold, all_resting, all_tried };
+enum class no_target_reason { none, service_empty, all_cold, all_limited, all_resting, all_tried };
 
 inline constexpr std::array no_target_reason_names{
     enum_name<no_target_reason>{no_target_reason::none, "none"},
     enum_name<no_target_reason>{no_target_reason::service_empty, "service_empty"},
     enum_name<no_target_reason>{no_target_reason::all_cold, "all_cold"},
+    enum_name<no_target_reason>{no_target_reason::all_limited, "all_limited"},
     enum_name<no_target_reason>{no_target_reason::all_resting, "all_resting"},
     enum_name<no_target_reason>{no_target_reason::all_tried, "all_tried"},
 };
@@ -90,6 +91,10 @@
     /// When the first of the eligible targets that want to rest, and were not tried, may be used
     /// again.
     std::optional<time_point> first_rest_end;
+    /// Eligible targets whose announced limit allows no request of this instance now, and when the
+    /// first of them may get one.
+    std::size_t limited = 0;
+    std::optional<time_point> first_allowed;
     /// What was believed of the chosen target when the request was spread.
     target_estimate believed;
     /// Share of such requests that the chosen target gets; 0 if the request was not spread.
--- a/include/cyclamenpost/routing/target_limit.hpp
+++ b/include/cyclamenpost/routing/target_limit.hpp
@@ -5,6 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "cyclamenpost/core/types.hpp"
 
@@ -89,11 +92,14 @@
     time_point since{};
 };
 
+/// Updates the place of the instance with the given id among the members, of which it is one; an
+/// empty list means that they are not known.
+auto update_position(fleet_position& position, const std::vector<std::string>& members,
+                     std::string_view own_id, time_point now) -> void;
+
 /// Time for which a turn remains usable: 1.5 s + 1 / limit. In 4 s at most (4 s + validity) x limit
 /// + 1 = 5.5 x limit + 2 requests pass; the rest up to 6 x limit + 5 is for clocks, transit and
-/// members that disagree. 1 s + 3 / limit used only 72% of a limit of 40 per second at 1.2 requests
-/// per second and instance; 1.5 s + 2 / limit exceeded the bound by one request when members
-/// disagreed.
+/// members that disagree. A shorter time wastes the turns of instances with few requests.
 auto turn_validity(double limit) -> duration;
 
 /// Whether a request may be sent to a target now. A limit is divided into turns: turn j is at time
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -12,6 +12,7 @@
 
 #include "cyclamenpost/core/types.hpp"
 #include "cyclamenpost/routing/fleet_record.hpp"
+#include "cyclamenpost/routing/target_limit.hpp"
 
 namespace cyclamenpost {
 
@@ -90,6 +91,8 @@
     time_point rests_until{};
     /// What the fleet knows of this incarnation.
     target_fleet_record fleet;
+    /// Requests per second that this incarnation takes from all instances.
+    target_limit limit;
 };
 
 /// Settings of the target table.
@@ -136,6 +139,8 @@
     /// End of the warm-up of zones that were returned to service.
     std::map<std::string, time_point> zone_cold_until;
     fleet_state fleet;
+    /// Place of this instance among those that share the targets' limits.
+    fleet_position position;
 };
 
 /// Adds or updates a target. A restart under a known id discards the state observed before, except
@@ -245,4 +250,12 @@
 auto cold_quota_allows(const target_table& table, const target& candidate, cold_quota share,
                        time_point now) -> bool;
 
+/// Whether the limit that the target has announced, if any, allows a request of this instance now.
+auto limit_allows(const target_table& table, const target& candidate, time_point now) -> bool;
+
+/// When the limit of a target allows the next request of this instance; unset while the size of the
+/// fleet is not known.
+auto next_allowed(const target_table& table, const target& candidate, time_point now)
+    -> std::optional<time_point>;
+
 } // namespace cyclamenpost
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -144,6 +144,10 @@
           [this](const std::shared_ptr<server_exchange>& exchange) { answer_metrics(exchange); })
 {
     view_.own_id = settings_.peer_address;
+    // fixed at the start, so that a later step of the wall clock does not move the turns of targets
+    // with a limit
+    view_.targets.position.clock_offset =
+        std::chrono::milliseconds{wall_clock_ms()} - monotonic_now().time_since_epoch();
     apply_settings();
 }
 
@@ -418,6 +422,7 @@
     const auto settled = knows_fleet_size(known);
     retain_fleet_sources(view_.targets, peers_.live_peers());
     view_.members = settled ? std::move(ids) : std::vector<std::string>{};
+    update_position(view_.targets.position, view_.members, view_.own_id, now);
     view_.retries = divide_retry_budget(
         {settings_.retry_budget_ratio, settled ? settings_.retry_slack : 0}, view_.members.size());
 }
@@ -457,6 +462,11 @@
         static_cast<double>(view_.members.size()));
     set("cyclamenpost_targets", "Targets known.",
         static_cast<double>(view_.targets.targets.size()));
+    const auto limited = std::ranges::count_if(view_.targets.targets, [](const auto& known) {
+        return known.second.limit.announced_at.has_value();
+    });
+    set("cyclamenpost_limited_targets", "Targets that have announced a limit that applies.",
+        static_cast<double>(limited));
     set("cyclamenpost_requests_running", "Requests without a final answer.",
         static_cast<double>(forwarder_.running()));
     set("cyclamenpost_request_body_bytes", "Bytes of request bodies that are held.",
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -87,6 +87,14 @@
         query.random = draw_spread();
     }
     const auto choice = choose_target(state.view.targets, query, state.weights, monotonic_now());
+    if (choice.limited > 0) {
+        state.metrics
+            .counter_of("cyclamenpost_limited_choices_total",
+                        "Choices that passed over targets because of their announced limits, by "
+                        "whether another target was chosen.",
+                        {{"chosen", choice.chosen != nullptr ? "1" : "0"}})
+            .add();
+    }
     if (choice.chosen == nullptr) {
         wait_for_target(choice);
         return;
@@ -115,6 +123,7 @@
                {"mean", std::to_string(choice.mean_load)},
                {"candidates", std::to_string(choice.candidate_count)},
                {"cold_without_quota", std::to_string(choice.cold_without_quota)},
+               {"limited", std::to_string(choice.limited)},
                {"over_bound", choice.over_bound ? "1" : "0"},
                {"holder", choice.is_holder ? "1" : "0"},
                {"fetch_from", metadata.prompt_cache_source},
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -162,6 +162,8 @@
     auto send_to(const target_choice& choice) -> void;
     /// Chooses again after a short time, or refuses the request.
     auto wait_for_target(const target_choice& choice) -> void;
+    /// Refuses the request because no target may get it in time.
+    auto refuse_without_target(const target_choice& choice) -> void;
     /// Waits in the order of `admission_queue`, or refuses the request if that is of no use.
     auto wait_in_order(const target_choice& choice) -> void;
     /// Joins the requests that wait for the same service, so that a newcomer does not pass them.
@@ -183,6 +185,9 @@
     auto latest_start() const -> time_point;
     auto remaining() const -> remaining_time;
     auto capacity() const -> capacity_facts;
+    /// Requests that a target runs at the same time when it gets no more than its limit; infinite
+    /// without one.
+    auto limited_slots(const target& known, time_point now) const -> double;
     /// Records the time that a successful attempt took.
     auto record_pressure(target_outcome health) -> void;
     /// Records that the target of the attempt rejected the request.
--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -96,7 +96,8 @@
 
 auto forward_job::note_limit() -> void
 {
-    if (!is_from_target(answer_head.status, answer)) {
+    auto* announcing = attempted_target();
+    if (announcing == nullptr || !is_from_target(answer_head.status, answer)) {
         return;
     }
     if (answer.limit) {
@@ -107,6 +108,21 @@
         if (sample_line(state.sampler, first_byte_at)) {
             log_event(log_level::warning, "limit_unreadable", {{"target", target_id}});
         }
+        if (!answer.limit) {
+            return;
+        }
+    }
+    const auto as_of = answer.limit ? first_byte_at : attempt_begun;
+    const auto change =
+        cyclamenpost::note_limit(announcing->limit, answer.limit, as_of, first_byte_at);
+    if (change != limit_change::none) {
+        log_event(
+            log_level::info, "target_limit",
+            {{"target", target_id},
+             {"change", std::string{name_in(limit_change_names, change)}},
+             {"limit", std::to_string(current_limit(announcing->limit, first_byte_at).value_or(0))},
+             {"source", "answer"},
+             {"request", request.id}});
     }
 }
 
--- a/src/entry/forward_job_waiting.cpp
+++ b/src/entry/forward_job_waiting.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "cyclamenpost/core/log.hpp"
@@ -20,6 +21,26 @@
 // below this pace a target's report is taken for an error rather than for speed
 constexpr double min_pace = 0.1;
 
+/// When the first of the targets that rest or are limited may get a request. One without a known
+/// time may get one at any moment: the size of the fleet is known soon after a start.
+auto first_usable(const target_choice& choice, time_point now) -> time_point
+{
+    auto first = choice.first_rest_end.value_or(time_point::max());
+    if (choice.limited > 0) {
+        first = std::min(first, choice.first_allowed.value_or(now));
+    }
+    return first;
+}
+
+/// Whether no target may get a request before `latest`, as far as rests and limits tell.
+auto unusable_until(const target_choice& choice, time_point now, time_point latest) -> bool
+{
+    const auto has_time = choice.reason == no_target_reason::all_resting ||
+                          choice.reason == no_target_reason::all_limited;
+    // a cold target has quota again within a second
+    return has_time && choice.cold_without_quota == 0 && first_usable(choice, now) > latest;
+}
+
 auto waiting_bytes(const forward_job& job) -> std::size_t
 {
     return job.exchange->body.size() + waiting_overhead_bytes;
@@ -62,23 +83,27 @@
     }
     const auto now = monotonic_now();
     const auto wait_end = arrived + matched_route->latency_objective / wait_divisor;
-    // a cold target has quota again within a second
-    const auto rests_longer = choice.reason == no_target_reason::all_resting &&
-                              choice.cold_without_quota == 0 &&
-                              choice.first_rest_end.value_or(now) > wait_end;
-    if (now > wait_end || rests_longer || choice.reason == no_target_reason::all_tried) {
-        auto retry_after = std::optional<duration>{};
-        if (choice.first_rest_end && *choice.first_rest_end > now) {
-            retry_after = retry_after_rest(*choice.first_rest_end - now, time_left(), draw());
-        }
-        handle(event_of(request_event_kind::no_target),
-               name_in(no_target_reason_names, choice.reason), target_outcome::cancelled,
-               retry_after);
+    if (now > wait_end || unusable_until(choice, now, wait_end) ||
+        choice.reason == no_target_reason::all_tried) {
+        refuse_without_target(choice);
         return;
     }
     wait_timer = call_later(target_poll_period, &forward_job::try_next);
 }
 
+auto forward_job::refuse_without_target(const target_choice& choice) -> void
+{
+    const auto now = monotonic_now();
+    auto retry_after = std::optional<duration>{};
+    // the next turn of this instance says little of a limited target, since callers may return to
+    // any instance; the capacity that the limits leave decides
+    if (choice.limited == 0 && choice.first_rest_end && *choice.first_rest_end > now) {
+        retry_after = retry_after_rest(*choice.first_rest_end - now, time_left(), draw());
+    }
+    handle(event_of(request_event_kind::no_target), name_in(no_target_reason_names, choice.reason),
+           target_outcome::cancelled, retry_after);
+}
+
 auto forward_job::latest_start() const -> time_point
 {
     const auto objective = matched_route->latency_objective;
@@ -98,6 +123,16 @@
     return left;
 }
 
+auto forward_job::limited_slots(const target& known, time_point now) const -> double
+{
+    const auto limit = current_limit(known.limit, now);
+    const auto occupied = usual_request_time(state.view.targets, service->name);
+    if (!limit || occupied <= duration::zero()) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return *limit * std::chrono::duration<double>(occupied).count();
+}
+
 auto forward_job::capacity() const -> capacity_facts
 {
     const auto now = monotonic_now();
@@ -115,8 +150,9 @@
                 continue;
             }
             const auto estimate = estimate_target(table, known, now);
-            const auto own =
+            const auto listed_slots =
                 static_cast<double>(std::max({known.published.capacity, service->capacity, 1U}));
+            const auto own = std::min(listed_slots, limited_slots(known, now));
             ++usable;
             slots += own / std::max(estimate.pace, min_pace);
             waiting += std::max(estimate.requests - own, 0.0);
@@ -225,22 +261,12 @@
 auto forward_job::wait_in_order(const target_choice& choice) -> void
 {
     const auto now = monotonic_now();
-    const auto latest = latest_start();
-    // a cold target has quota again within a second
-    const auto rests_longer = choice.reason == no_target_reason::all_resting &&
-                              choice.cold_without_quota == 0 &&
-                              choice.first_rest_end.value_or(now) > latest;
-    const auto reason = name_in(no_target_reason_names, choice.reason);
-    if (rests_longer || choice.reason == no_target_reason::all_tried) {
-        auto retry_after = std::optional<duration>{};
-        if (choice.first_rest_end && *choice.first_rest_end > now) {
-            retry_after = retry_after_rest(*choice.first_rest_end - now, time_left(), draw());
-        }
-        handle(event_of(request_event_kind::no_target), reason, target_outcome::cancelled,
-               retry_after);
+    if (unusable_until(choice, now, latest_start()) ||
+        choice.reason == no_target_reason::all_tried) {
+        refuse_without_target(choice);
         return;
     }
-    enter_waiting(reason);
+    enter_waiting(name_in(no_target_reason_names, choice.reason));
 }
 
 auto forward_job::wait_behind_others() -> bool
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -220,6 +220,7 @@
 {
     auto candidates = std::vector<candidate>{};
     choice.reason = no_target_reason::service_empty;
+    choice.limited = 0;
     candidates.reserve(surveyed.size());
     for (const auto& one : surveyed) {
         const auto& known = *one.destination;
@@ -248,6 +249,15 @@
             ++choice.cold_without_quota;
             continue;
         }
+        if (!limit_allows(table, known, now)) {
+            choice.reason = std::max(choice.reason, no_target_reason::all_limited);
+            ++choice.limited;
+            const auto allowed = next_allowed(table, known, now);
+            if (allowed && (!choice.first_allowed || *allowed < *choice.first_allowed)) {
+                choice.first_allowed = allowed;
+            }
+            continue;
+        }
         entry.available = true;
     }
     return candidates;
--- a/src/routing/target_limit.cpp
+++ b/src/routing/target_limit.cpp
@@ -231,4 +231,17 @@
     return now + std::chrono::ceil<duration>(wait);
 }
 
+auto update_position(fleet_position& position, const std::vector<std::string>& members,
+                     std::string_view own_id, time_point now) -> void
+{
+    const auto before =
+        std::ranges::count_if(members, [&](const std::string& id) { return id < own_id; });
+    const auto rank = static_cast<std::size_t>(before);
+    if (rank != position.rank || members.size() != position.members) {
+        position.rank = rank;
+        position.members = members.size();
+        position.since = now;
+    }
+}
+
 } // namespace cyclamenpost
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -180,6 +180,7 @@
 
 auto begin_request(target_table& table, target& chosen, time_point now) -> void
 {
+    use_turn(chosen.limit, table.position, name_key(chosen.published.id), now);
     ++chosen.in_flight;
     chosen.last_started = now;
     if (chosen.load) {
@@ -295,4 +296,16 @@
     return static_cast<std::size_t>(recent) < share.per_second;
 }
 
+auto limit_allows(const target_table& table, const target& candidate, time_point now) -> bool
+{
+    return !candidate.limit.announced_at ||
+           has_turn(candidate.limit, table.position, name_key(candidate.published.id), now);
+}
+
+auto next_allowed(const target_table& table, const target& candidate, time_point now)
+    -> std::optional<time_point>
+{
+    return next_turn(candidate.limit, table.position, name_key(candidate.published.id), now);
+}
+
 } // namespace cyclamenpost
