Leave fresh turns of a limited target to requests with large prompts

What callers could see: later first events while targets announce limits, since prompts are copied or processed again. Cause: half of a limited target's requests have to go elsewhere, whichever comes when no turn is free. Change: a request whose prompt has fewer shared tokens than usual for its service uses a turn only in the second half of its time. Services without prompts are not affected.

--- a/include/cyclamenpost/routing/target_limit.hpp
+++ b/include/cyclamenpost/routing/target_limit.hpp
@@ -114,6 +114,10 @@
 auto has_turn(const target_limit& limit, const fleet_position& position, std::uint32_t target_key,
               time_point now) -> bool;
 
+/// Age of the oldest turn that may be used now; unset without one. Only meaningful with a limit.
+auto turn_age(const target_limit& limit, const fleet_position& position, std::uint32_t target_key,
+              time_point now) -> std::optional<duration>;
+
 /// Uses the oldest turn that has not expired. Does nothing without a limit.
 auto use_turn(target_limit& limit, const fleet_position& position, std::uint32_t target_key,
               time_point now) -> void;
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -141,6 +141,8 @@
     fleet_state fleet;
     /// Place of this instance among those that share the targets' limits.
     fleet_position position;
+    /// Moving average of the tokens of the shared parts of requests' prompts, by service.
+    std::map<std::string, double, std::less<>> prompt_tokens;
 };
 
 /// Adds or updates a target. A restart under a known id discards the state observed before, except
@@ -250,12 +252,22 @@
 auto cold_quota_allows(const target_table& table, const target& candidate, cold_quota share,
                        time_point now) -> bool;
 
+/// Records the tokens of the shared parts of one request's prompt.
+auto record_prompt_size(target_table& table, const std::string& service, std::uint32_t tokens)
+    -> void;
+
 /// Whether the limit that the target has announced, if any, allows a request of this instance now.
-auto limit_allows(const target_table& table, const target& candidate, time_point now) -> bool;
+/// A request whose prompt has fewer shared tokens than usual for the service uses a turn only in
+/// the second half of its time.
+///
+/// Load pattern: half of a target's requests have to go elsewhere, and each prompt that moves is
+/// copied or processed again, so those with the least to lose go first.
+auto limit_allows(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
+                  time_point now) -> bool;
 
 /// When the limit of a target allows the next request of this instance; unset while the size of the
 /// fleet is not known.
-auto next_allowed(const target_table& table, const target& candidate, time_point now)
-    -> std::optional<time_point>;
+auto next_allowed(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
+                  time_point now) -> std::optional<time_point>;
 
 } // namespace cyclamenpost
--- a/src/entry/forward_job.cpp
+++ b/src/entry/forward_job.cpp
@@ -82,7 +82,6 @@
     }
     auto query = query_targets();
     query.prefix_hash = affinity;
-    query.prefix_tokens = shared_tokens;
     if (query.even_load) {
         query.random = draw_spread();
     }
@@ -165,6 +164,7 @@
     advance(progress, event_of(request_event_kind::attempt_begun));
     silence_noted = false;
     expected = expected_wait(state.view.targets, chosen, now);
+    record_prompt_size(state.view.targets, service->name, shared_tokens);
     begin_request(state.view.targets, chosen, now);
     in_flight = true;
     answer_underway = false;
@@ -297,6 +297,7 @@
     query.members = &state.view.members;
     query.even_load = state.view.options.even_load;
     query.objective = matched_route->latency_objective;
+    query.prefix_tokens = shared_tokens;
     return query;
 }
 
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -249,10 +249,10 @@
             ++choice.cold_without_quota;
             continue;
         }
-        if (!limit_allows(table, known, now)) {
+        if (!limit_allows(table, known, query.prefix_tokens, now)) {
             choice.reason = std::max(choice.reason, no_target_reason::all_limited);
             ++choice.limited;
-            const auto allowed = next_allowed(table, known, now);
+            const auto allowed = next_allowed(table, known, query.prefix_tokens, now);
             if (allowed && (!choice.first_allowed || *allowed < *choice.first_allowed)) {
                 choice.first_allowed = allowed;
             }
--- a/src/routing/target_limit.cpp
+++ b/src/routing/target_limit.cpp
@@ -193,14 +193,18 @@
 auto has_turn(const target_limit& limit, const fleet_position& position, std::uint32_t target_key,
               time_point now) -> bool
 {
-    if (!limit.announced_at) {
-        return true;
-    }
+    return !limit.announced_at || turn_age(limit, position, target_key, now).has_value();
+}
+
+auto turn_age(const target_limit& limit, const fleet_position& position, std::uint32_t target_key,
+              time_point now) -> std::optional<duration>
+{
     if (position.members == 0) {
-        return false;
+        return std::nullopt;
     }
     const auto turns = own_turns_at(limit, position, target_key, now);
-    return oldest_turn(turns) <= turns.now;
+    const auto age = turns.now - oldest_turn(turns);
+    return age >= nanoseconds{} ? std::optional{std::chrono::floor<duration>(age)} : std::nullopt;
 }
 
 auto use_turn(target_limit& limit, const fleet_position& position, std::uint32_t target_key,
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -20,8 +20,9 @@
 // answers that a target sent before it crashed have arrived after this time
 constexpr duration answer_transit_time = std::chrono::milliseconds{50};
 
-// weight of the newest request; the average follows a change within about 50 requests
+// weight of the newest request; the averages follow a change within about 50 requests
 constexpr double newest_time_weight = 0.02;
+constexpr double newest_size_weight = 0.02;
 
 auto index_target(target_table& table, target& added) -> void
 {
@@ -68,6 +69,16 @@
     return false;
 }
 
+/// Age from which a request may use a turn of the target.
+auto least_turn_age(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
+                    time_point now) -> duration
+{
+    const auto usual = table.prompt_tokens.find(candidate.published.service);
+    const auto limit = current_limit(candidate.limit, now);
+    const auto yields = usual != table.prompt_tokens.end() && prompt_tokens < usual->second;
+    return yields && limit ? turn_validity(*limit) / 2 : duration::zero();
+}
+
 auto unindex_target(target_table& table, const target& dropped) -> void
 {
     std::erase(table.by_service[dropped.published.service], &dropped);
@@ -296,16 +307,34 @@
     return static_cast<std::size_t>(recent) < share.per_second;
 }
 
-auto limit_allows(const target_table& table, const target& candidate, time_point now) -> bool
+auto record_prompt_size(target_table& table, const std::string& service, std::uint32_t tokens)
+    -> void
+{
+    auto& mean = table.prompt_tokens[service];
+    mean += (tokens - mean) * newest_size_weight;
+}
+
+auto limit_allows(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
+                  time_point now) -> bool
 {
-    return !candidate.limit.announced_at ||
-           has_turn(candidate.limit, table.position, name_key(candidate.published.id), now);
+    if (!candidate.limit.announced_at) {
+        return true;
+    }
+    const auto age =
+        turn_age(candidate.limit, table.position, name_key(candidate.published.id), now);
+    return age && *age >= least_turn_age(table, candidate, prompt_tokens, now);
 }
 
-auto next_allowed(const target_table& table, const target& candidate, time_point now)
-    -> std::optional<time_point>
+auto next_allowed(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
+                  time_point now) -> std::optional<time_point>
 {
-    return next_turn(candidate.limit, table.position, name_key(candidate.published.id), now);
+    const auto key = name_key(candidate.published.id);
+    const auto least = least_turn_age(table, candidate, prompt_tokens, now);
+    if (const auto age = turn_age(candidate.limit, table.position, key, now)) {
+        return now + std::max(least - *age, duration::zero());
+    }
+    const auto next = next_turn(candidate.limit, table.position, key, now);
+    return next ? std::optional{*next + least} : std::nullopt;
 }
 
 } // namespace cyclamenpost
--- a/tests/unit-target_choice.cpp
+++ b/tests/unit-target_choice.cpp
@@ -411,3 +411,83 @@
     query.even_load = false;
     CHECK(chosen_id(table, query, start + 10ms) == holder);
 }
+
+namespace {
+
+/// A table whose first target takes one request in four seconds, of an instance that is alone and
+/// has used the turns until the start.
+auto make_limited_table(int count) -> target_table
+{
+    auto table = make_table(count);
+    update_position(table.position, {"self"}, "self", start - 1min);
+    auto& limit = table.targets.at("t0").limit;
+    note_limit(limit, min_target_limit, start - 1min, start - 1min);
+    while (has_turn(limit, table.position, name_key("t0"), start)) {
+        use_turn(limit, table.position, name_key("t0"), start);
+    }
+    return table;
+}
+
+/// First time after the start at which the limited target may get the request.
+auto allowed_at(const target_table& table, std::uint32_t prompt_tokens) -> time_point
+{
+    return next_allowed(table, table.targets.at("t0"), prompt_tokens, start).value();
+}
+
+} // namespace
+
+// Guards against prompts that move for nothing: a request with a small prompt took the turn, and
+// the one with a large prompt had to go to a target that does not have it cached.
+TEST_CASE(
+    "target_choice: requests with small prompts leave fresh turns of a limited target to others")
+{
+    auto table = make_limited_table(2);
+    for (auto count = 0; count < 200; ++count) {
+        record_prompt_size(table, "engine", count % 2 == 0 ? 1'000 : 9'000);
+    }
+    const auto fresh = allowed_at(table, 9'000);
+    const auto half = turn_validity(min_target_limit) / 2;
+    const auto& limited = table.targets.at("t0");
+    CHECK(limit_allows(table, limited, 9'000, fresh));
+    CHECK_FALSE(limit_allows(table, limited, 1'000, fresh));
+    CHECK_FALSE(limit_allows(table, limited, 1'000, fresh + half - 2ms));
+    CHECK(limit_allows(table, limited, 1'000, fresh + half + 2ms));
+    CHECK(allowed_at(table, 1'000) >= fresh + half - 2ms);
+    CHECK(allowed_at(table, 1'000) <= fresh + half + 2ms);
+}
+
+// Guards against turns that expire unused in a service whose requests have no prompts.
+TEST_CASE("target_choice: requests without prompts use fresh turns of a limited target")
+{
+    auto table = make_limited_table(2);
+    for (auto count = 0; count < 200; ++count) {
+        record_prompt_size(table, "engine", 0);
+    }
+    CHECK(limit_allows(table, table.targets.at("t0"), 0, allowed_at(table, 0)));
+}
+
+// Guards against a limited target that gets requests between its turns, and against a caller that
+// is not told why no target may be used.
+TEST_CASE("target_choice: a limited target is chosen in the instance's turns only")
+{
+    auto table = make_limited_table(1);
+    auto query = choice_query{};
+    query.service = "engine";
+    const auto first = allowed_at(table, 0);
+    auto choice = choose_target(table, query, {}, first - 1ms);
+    CHECK(choice.chosen == nullptr);
+    CHECK(choice.reason == no_target_reason::all_limited);
+    CHECK(choice.limited == 1);
+    CHECK(choice.first_allowed == first);
+    choice = choose_target(table, query, {}, first);
+    REQUIRE(choice.chosen != nullptr);
+    begin_request(table, *choice.chosen, first);
+    choice = choose_target(table, query, {}, first + 1ms);
+    CHECK(choice.reason == no_target_reason::all_limited);
+    REQUIRE(choice.first_allowed);
+    CHECK(*choice.first_allowed > first + 3s);
+    table.position = {};
+    choice = choose_target(table, query, {}, first + 10s);
+    CHECK(choice.reason == no_target_reason::all_limited);
+    CHECK_FALSE(choice.first_allowed);
+}
