Share targets' limits between instances

Cause: the limit that a target announces applies to all instances together, but an instance learns it only from its own answers. At 390 instances most have had no answer of a target for many seconds.

News is forwarded over the three origins of load reports. What is forwarded is what one answer said, never the lowest value of the window: instances would keep a low value in force by sending it to each other. More limits than fit a message are sent in rounds in the order of their keys, so each is sent once per round. A peer's news that changes a limit is logged as target_limit with source=peer, at most 10 lines per second.

--- a/include/cyclamenpost/entry/entry_instance.hpp
+++ b/include/cyclamenpost/entry/entry_instance.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 
+#include "cyclamenpost/core/log_buffer.hpp"
 #include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/core/supervisor.hpp"
 #include "cyclamenpost/entry/crash_monitor.hpp"
@@ -49,6 +50,8 @@
     auto view() const -> const fleet_view&;
 
 private:
+    static constexpr std::uint32_t max_limit_lines_per_second = 10;
+
     auto supervision_tree() -> supervised_node;
     auto start_store() -> result<void>;
     auto start_front() -> result<void>;
@@ -58,6 +61,8 @@
     auto apply_item(const published_item& item, bool lapsing) -> void;
     auto apply_configuration(const published_item& item) -> void;
     auto apply_target(const std::string& id, const published_item& item, bool lapsing) -> void;
+    /// Applies limits that a peer has sent.
+    auto apply_limits(const std::vector<shared_limit>& limits, report_origin origin) -> void;
     auto apply_zone_evacuation(const std::string& zone, bool evacuated) -> void;
     auto announce_if_ready() -> void;
     /// Takes requests once enough is known since the start.
@@ -100,6 +105,8 @@
     std::uint64_t announced_revision_ = 0;
     bool announced_ready_ = false;
     bool logged_start_ = false;
+    /// Limits of many targets may begin or end at the same time, and flap.
+    line_sampler limit_lines_{max_limit_lines_per_second};
 };
 
 } // namespace cyclamenpost
--- a/include/cyclamenpost/entry/load_reporter.hpp
+++ b/include/cyclamenpost/entry/load_reporter.hpp
@@ -1,17 +1,20 @@
 #pragma once
 
+#include <map>
 #include <set>
 #include <string_view>
 
 #include "cyclamenpost/core/metrics.hpp"
 #include "cyclamenpost/entry/peers.hpp"
 #include "cyclamenpost/routing/fleet_load.hpp"
+#include "cyclamenpost/routing/limit_sharing.hpp"
 #include "cyclamenpost/routing/load_sharing.hpp"
 
 namespace cyclamenpost {
 
-/// Sends the load that targets report to other instances. Each instance reads only a few answers a
-/// second, while the load bound needs the load of the whole service. With `--fleet-load`, also
+/// Sends the load that targets report and the limits that they announce to other instances. Each
+/// instance reads only a few answers a second, while the load bound needs the load of the whole
+/// service, and a limit applies to all instances. With `--fleet-load`, also
 /// sends what this instance or its zone knows of targets by itself, and failures at once.
 class load_reporter {
 public:
@@ -31,6 +34,13 @@
 
 private:
     auto send_reports() -> void;
+    /// Sends limits that are due in messages of their own: they must not wait for the loads of a
+    /// large fleet, which may take seconds.
+    auto send_limits() -> void;
+    /// Takes the limits for the next message to receivers of news up to the given origin.
+    auto next_limits(report_origin farthest, time_point now) -> std::vector<shared_limit>;
+    /// Determines when limits are due again.
+    auto end_limits(time_point now) -> void;
     /// Sends the figures of targets that have failed since the last message.
     auto send_news() -> void;
     auto list_of(fleet_scope scope, const std::vector<std::string>* only) -> fleet_list;
@@ -50,8 +60,15 @@
     std::uint32_t sequence_ = 0;
     /// Bytes sent to each receiver in the own zone since the loads were last sent.
     std::size_t sent_bytes_ = 0;
+    /// Limits sent, by the farthest origin that the receivers get news from.
+    std::map<report_origin, limit_round> limit_rounds_;
+    time_point limits_due_{};
+    /// Limits in the largest of the current messages, and in all since the loads were last sent.
+    std::size_t limits_taken_ = 0;
+    std::size_t limits_sent_ = 0;
     notice_budget notices_;
     timer timer_;
+    timer limit_timer_;
     timer news_timer_;
 };
 
--- a/include/cyclamenpost/entry/peers.hpp
+++ b/include/cyclamenpost/entry/peers.hpp
@@ -29,6 +29,8 @@
     std::function<void(const shared_evidence&)> on_evidence;
     /// Load reports of a peer.
     std::function<void(const std::vector<shared_load>&, report_origin)> on_loads;
+    /// Limits of targets from a peer.
+    std::function<void(const std::vector<shared_limit>&, report_origin)> on_limits;
     /// Figures of targets from a peer.
     std::function<void(const fleet_list&, const fleet_sender&)> on_figures;
     /// A message with load reports was malformed and has had no effect.
--- a/include/cyclamenpost/routing/target_table.hpp
+++ b/include/cyclamenpost/routing/target_table.hpp
@@ -66,6 +66,19 @@
     double pace = 1;
 };
 
+/// News of a target's limit that is forwarded to other instances. It holds what one answer of the
+/// target said, never a value derived from several answers: derived values that instances send each
+/// other could stay in force for good.
+struct limit_news {
+    /// Requests per second that the target announced; unset when no limit applied.
+    std::optional<double> per_second;
+    /// Time of the answer, or beginning of the attempt for an answer without a limit.
+    time_point as_of{};
+    report_origin origin = report_origin::own_answer;
+    /// When this instance received it.
+    time_point received_at{};
+};
+
 /// A target with the state that this instance observed.
 struct target {
     published_target published;
@@ -89,10 +102,12 @@
     std::optional<time_point> leaving_since;
     /// The target has asked this instance to send it nothing until then.
     time_point rests_until{};
+    /// Requests per second that this incarnation takes from all instances, and the news of them
+    /// that is forwarded; unset without any.
+    target_limit limit;
+    std::optional<limit_news> news_of_limit;
     /// What the fleet knows of this incarnation.
     target_fleet_record fleet;
-    /// Requests per second that this incarnation takes from all instances.
-    target_limit limit;
 };
 
 /// Settings of the target table.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -117,6 +117,9 @@
               [this](const std::vector<shared_load>& loads, report_origin origin) {
                   merge_shared_loads(view_.targets, loads, origin, monotonic_now());
               },
+              [this](const std::vector<shared_limit>& limits, report_origin origin) {
+                  apply_limits(limits, origin);
+              },
               [this](const fleet_list& figures, const fleet_sender& sender) {
                   loads_.receive(figures, sender);
               },
@@ -387,6 +390,23 @@
                {"revision", std::to_string(item.revision)}});
 }
 
+auto entry_instance::apply_limits(const std::vector<shared_limit>& limits, report_origin origin)
+    -> void
+{
+    const auto now = monotonic_now();
+    for (const auto& [id, change] : merge_shared_limits(view_.targets, limits, origin, now)) {
+        if (!sample_line(limit_lines_, now)) {
+            continue;
+        }
+        const auto limit = current_limit(view_.targets.targets.at(id).limit, now);
+        log_event(log_level::info, "target_limit",
+                  {{"target", id},
+                   {"change", std::string{name_in(limit_change_names, change)}},
+                   {"limit", limit ? std::to_string(*limit) : "none"},
+                   {"source", "peer"}});
+    }
+}
+
 auto entry_instance::apply_zone_evacuation(const std::string& zone, bool evacuated) -> void
 {
     set_zone_evacuated(view_.targets, zone, evacuated, longest_cold_time(), monotonic_now());
--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cyclamenpost/core/log.hpp"
+#include "cyclamenpost/routing/limit_sharing.hpp"
 
 namespace cyclamenpost::detail {
 
@@ -114,7 +115,7 @@
     }
     const auto as_of = answer.limit ? first_byte_at : attempt_begun;
     const auto change =
-        cyclamenpost::note_limit(announcing->limit, answer.limit, as_of, first_byte_at);
+        record_limit(*announcing, answer.limit, as_of, report_origin::own_answer, first_byte_at);
     if (change != limit_change::none) {
         log_event(
             log_level::info, "target_limit",
--- a/src/entry/load_messages.cpp
+++ b/src/entry/load_messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace cyclamenpost {
 
@@ -10,11 +11,13 @@
 
 constexpr double count_scale = 16;
 constexpr double percent = 100;
+constexpr double thousand = 1'000;
 // figures above these are not taken for real
 constexpr std::uint32_t max_requests = 1'000'000;
 constexpr std::uint32_t max_count = 16'000'000;
 constexpr std::uint32_t max_pace_percent = 10'000;
 constexpr std::uint32_t max_age_ms = 3'600'000;
+constexpr auto max_limit_thousandths = static_cast<std::uint32_t>(max_target_limit * thousand);
 
 auto milliseconds_of(duration span) -> std::uint32_t
 {
@@ -108,6 +111,45 @@
     return list;
 }
 
+/// Thousandths of a request per second; 0 only without a limit.
+auto encode_limit(std::optional<double> per_second) -> std::uint32_t
+{
+    return per_second ? static_cast<std::uint32_t>(std::lround(
+                            std::clamp(*per_second * thousand, 1.0, double{max_limit_thousandths})))
+                      : 0;
+}
+
+auto encode_limits(const std::vector<shared_limit>& limits, wire::load_reports& sent) -> void
+{
+    for (const auto& limit : limits) {
+        sent.add_limit_target(limit.target);
+        sent.add_limit_start(limit.start);
+        sent.add_limit_thousandths(encode_limit(limit.per_second));
+        sent.add_limit_age_ms(milliseconds_of(limit.age));
+    }
+}
+
+auto decode_limits(const wire::load_reports& sent) -> std::optional<std::vector<shared_limit>>
+{
+    const auto count = sent.limit_target_size();
+    if (sent.limit_start_size() != count || sent.limit_thousandths_size() != count ||
+        sent.limit_age_ms_size() != count || count > static_cast<int>(max_shared_limits)) {
+        return std::nullopt;
+    }
+    auto limits = std::vector<shared_limit>{};
+    for (auto index = 0; index < count; ++index) {
+        const auto thousandths = sent.limit_thousandths(index);
+        const auto age = sent.limit_age_ms(index);
+        if (thousandths > max_limit_thousandths || age > max_age_ms) {
+            return std::nullopt;
+        }
+        limits.push_back({sent.limit_target(index), sent.limit_start(index),
+                          thousandths > 0 ? std::optional{thousandths / thousand} : std::nullopt,
+                          std::chrono::milliseconds{age}});
+    }
+    return limits;
+}
+
 } // namespace
 
 auto encode_load_message(const load_message& message, bool with_pace, time_point now)
@@ -130,6 +172,7 @@
     if (message.figures) {
         encode_figures(*message.figures, *reports.mutable_figures(), now);
     }
+    encode_limits(message.limits, reports);
     return envelope;
 }
 
@@ -160,6 +203,11 @@
             return std::nullopt;
         }
     }
+    auto limits = decode_limits(reports);
+    if (!limits) {
+        return std::nullopt;
+    }
+    message.limits = std::move(*limits);
     return message;
 }
 
--- a/src/entry/load_reporter.cpp
+++ b/src/entry/load_reporter.cpp
@@ -47,6 +47,7 @@
 auto load_reporter::start() -> void
 {
     timer_ = loop_.call_after(min_period, [this] { send_reports(); });
+    limit_timer_ = loop_.call_after(min_period, [this] { send_limits(); });
     if (targets_.fleet.active) {
         news_timer_ = loop_.call_every(news_period, [this] { send_news(); });
     }
@@ -55,6 +56,7 @@
 auto load_reporter::stop() -> void
 {
     timer_.reset();
+    limit_timer_.reset();
     news_timer_.reset();
 }
 
@@ -63,6 +65,7 @@
     const auto now = monotonic_now();
     const auto recipients = peers_.load_report_recipients();
     const auto sends_loads = !targets_.fleet.active || now >= loads_due_;
+    const auto sends_limits = now >= limits_due_;
     auto reports = std::size_t{0};
     const auto message_of = [&](report_origin farthest, fleet_scope scope) {
         auto message = load_message{};
@@ -70,6 +73,9 @@
             message.loads = loads_received_after(targets_, reported_until_, farthest, now);
         }
         reports = message.loads.size();
+        if (sends_limits) {
+            message.limits = next_limits(farthest, now);
+        }
         add_figures(message, scope);
         return message;
     };
@@ -90,16 +96,59 @@
                                          message_of(report_origin::other_zone, fleet_scope::fleet));
     }
     targets_.fleet.news.clear();
+    if (sends_limits) {
+        end_limits(now);
+    }
     if (sends_loads) {
         reported_until_ = now;
         const auto bytes = std::exchange(sent_bytes_, 0);
-        loads_due_ = now + period_after(targets_.fleet.active ? bytes : reports * report_bytes);
+        const auto limit_bytes = std::exchange(limits_sent_, 0) * shared_limit_bytes;
+        loads_due_ =
+            now +
+            period_after(targets_.fleet.active ? bytes : reports * report_bytes + limit_bytes);
     }
     const auto next = std::max(loads_due_ - now, min_period);
     timer_ = loop_.call_after(targets_.fleet.active ? std::min(next, max_figures_period) : next,
                               [this] { send_reports(); });
 }
 
+auto load_reporter::send_limits() -> void
+{
+    const auto now = monotonic_now();
+    if (now >= limits_due_) {
+        const auto recipients = peers_.load_report_recipients();
+        const auto send = [&](const std::vector<std::string>& to, report_origin farthest) {
+            auto message = load_message{};
+            message.limits = next_limits(farthest, now);
+            return peers_.send_loads(to, message);
+        };
+        if (!recipients.other_collectors.empty()) {
+            send(recipients.other_collectors, report_origin::zone_peer);
+        }
+        if (!recipients.collector.empty()) {
+            sent_bytes_ += send({recipients.collector}, report_origin::own_answer);
+        }
+        if (!recipients.zone_peers.empty()) {
+            sent_bytes_ += send(recipients.zone_peers, report_origin::other_zone);
+        }
+        end_limits(now);
+    }
+    limit_timer_ = loop_.call_after(limits_due_ - now, [this] { send_limits(); });
+}
+
+auto load_reporter::next_limits(report_origin farthest, time_point now) -> std::vector<shared_limit>
+{
+    auto limits = take_limits(targets_, limit_rounds_[farthest], farthest, now);
+    limits_taken_ = std::max(limits_taken_, limits.size());
+    return limits;
+}
+
+auto load_reporter::end_limits(time_point now) -> void
+{
+    limits_sent_ += limits_taken_;
+    limits_due_ = now + limit_period(std::exchange(limits_taken_, 0), min_period);
+}
+
 auto load_reporter::add_figures(load_message& message, fleet_scope scope) -> void
 {
     if (!targets_.fleet.active) {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -276,7 +276,7 @@
 
 auto peers::send_loads(const std::vector<std::string>& to, const load_message& loads) -> std::size_t
 {
-    if (to.empty() || (loads.loads.empty() && !loads.figures)) {
+    if (to.empty() || (loads.loads.empty() && !loads.figures && loads.limits.empty())) {
         return 0;
     }
     const auto message = encode_load_message(loads, settings_.options.fleet_load, monotonic_now());
@@ -526,8 +526,11 @@
     }
     const auto sender = find_member(cluster_.membership(), message.from_instance());
     const auto same_zone = sender && sender->zone == settings_.zone;
-    handlers_.on_loads(decoded->loads,
-                       same_zone ? report_origin::zone_peer : report_origin::other_zone);
+    const auto origin = same_zone ? report_origin::zone_peer : report_origin::other_zone;
+    handlers_.on_loads(decoded->loads, origin);
+    if (!decoded->limits.empty()) {
+        handlers_.on_limits(decoded->limits, origin);
+    }
     if (decoded->figures && sender && settings_.options.fleet_load) {
         handlers_.on_figures(*decoded->figures, {name_key(message.from_instance()),
                                                  message.from_start_ms(), same_zone});
--- a/tests/unit-fleet_load.cpp
+++ b/tests/unit-fleet_load.cpp
@@ -44,7 +44,7 @@
         if (scope == fleet_scope::instance) {
             note_reported(table, list.entries);
         }
-        const auto message = encode_load_message({{}, list}, true, now);
+        const auto message = encode_load_message({{}, list, {}}, true, now);
         const auto decoded = decode_load_message(message.load_reports(), arrival);
         REQUIRE(decoded);
         const auto sender = fleet_sender{name_key(id), 1, zone == to.zone};
@@ -249,7 +249,9 @@
     const auto list = fleet_list{fleet_scope::instance, 1, false,
                                  fleet_entries(all.a2.table, fleet_scope::instance, start)};
     const auto sent =
-        encode_load_message({{{name_key("t1"), 3, 10ms, 2.5}}, list}, true, start).load_reports();
+        encode_load_message(
+            {{{name_key("t1"), 3, 10ms, 2.5}}, list, {{name_key("t1"), 1, 4.2, 10ms}}}, true, start)
+            .load_reports();
     REQUIRE(decode_load_message(sent, start));
     CHECK(decode_load_message(sent, start)->loads.front().pace == doctest::Approx(2.5));
     const auto damaged = [&](const auto& change) {
@@ -264,6 +266,21 @@
     CHECK(damaged([](auto& message) { message.mutable_figures()->set_scope(3); }));
     CHECK(damaged([](auto& message) { message.mutable_figures()->set_in_flight(0, ~0U); }));
     CHECK(damaged([](auto& message) { message.mutable_figures()->set_pace(0, ~0U); }));
+    CHECK(damaged([](auto& message) { message.add_limit_target(1); }));
+    CHECK(damaged([](auto& message) { message.clear_limit_target(); }));
+    CHECK(damaged([](auto& message) { message.clear_limit_start(); }));
+    CHECK(damaged([](auto& message) { message.add_limit_thousandths(1); }));
+    CHECK(damaged([](auto& message) { message.clear_limit_age_ms(); }));
+    CHECK(damaged([](auto& message) { message.set_limit_thousandths(0, 100'000'001); }));
+    CHECK(damaged([](auto& message) { message.set_limit_age_ms(0, 3'600'001); }));
+    CHECK(damaged([](auto& message) {
+        for (auto index = std::size_t{0}; index < max_shared_limits; ++index) {
+            message.add_limit_target(1);
+            message.add_limit_start(1);
+            message.add_limit_thousandths(1);
+            message.add_limit_age_ms(1);
+        }
+    }));
 }
 
 TEST_CASE("fleet_load: a pause of 600 ms marks a target as slow for longer")
@@ -334,7 +351,7 @@
     const auto bytes_of = [&](const std::vector<std::string>* only) {
         const auto list = fleet_list{fleet_scope::fleet, 1'000'000, only != nullptr,
                                      fleet_entries(one, fleet_scope::fleet, now, only)};
-        return encode_load_message({{}, list}, true, now).ByteSizeLong();
+        return encode_load_message({{}, list, {}}, true, now).ByteSizeLong();
     };
     auto names = std::vector<std::string>{};
     for (const auto& [id, known] : one.targets) {
