Do not record what another target says of itself

What callers could see: a target that is warm or idle was taken for cold or busy after another process had answered at its address. Cause: load, cold time and the time of the last answer were recorded from each answer but 421, also from one that names another target; rest and leaving were not. Change: one check (is_from_target) for all of them.

--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -167,7 +167,7 @@
     note_rest();
     note_limit();
     auto* answering = attempted_target();
-    if (answering != nullptr && head.status != misdirected) {
+    if (answering != nullptr && is_from_target(head.status, answer)) {
         answering->answered_at = first_byte_at;
         if (answer.load) {
             record_load(*answering, answer.load->running, answer.load->waiting, first_byte_at,
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -290,6 +290,28 @@
     CHECK(known.at("app-1").rests_until == rests_until);
 }
 
+// Guards against news of a target that another one gave, which has the address now.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "faulty_targets: what another target says of itself is not recorded")
+{
+    auto target =
+        scripted_target{*this, "app-1", "app", [&](const received_request& request) {
+                            request.connection->send(response(
+                                "503 Busy", request.id,
+                                "X-Not-Executed: 1\r\nX-Instance-Id: app-2\r\nX-Cold-Ms: 9000\r\n"
+                                "X-Server-Load: 7,0,8\r\n"));
+                        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    const auto& known = instances[0]->view().targets.targets;
+    wait([&] { return known.contains("app-1"); });
+    CHECK(ask("/book/1").head.status == 503);
+    CHECK_FALSE(known.at("app-1").load);
+    CHECK(known.at("app-1").answered_at == time_point{});
+    CHECK(known.at("app-1").cold_until < monotonic_now() + std::chrono::seconds{5});
+}
+
 // Guards against news of one start of a target that is recorded for its next start, which the store
 // lists while a request is at the first one.
 TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: what a target's earlier start says does not hold "
