Send no body in the answer to HEAD on a streaming route

What callers could see: the next answer on their connection began with the end of a chunked body. Cause: a forwarded stream wrote its chunks and their end for HEAD as well. Change: the server writes no chunks for HEAD.

--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -204,7 +204,7 @@
 
 auto server_exchange::write(std::string_view bytes) -> void
 {
-    if (!answered_ && !bytes.empty()) {
+    if (!answered_ && !bytes.empty() && head.method != "HEAD") {
         connection_->tcp.send(write_chunk(bytes));
         connection_->count_bytes();
     }
@@ -215,7 +215,9 @@
     if (std::exchange(answered_, true)) {
         return;
     }
-    connection_->tcp.send("0\r\n\r\n");
+    if (head.method != "HEAD") {
+        connection_->tcp.send("0\r\n\r\n");
+    }
     connection_->next_request();
 }
 
--- a/tests/unit-faulty_targets.cpp
+++ b/tests/unit-faulty_targets.cpp
@@ -312,6 +312,35 @@
     CHECK(known.at("app-1").cold_until < monotonic_now() + std::chrono::seconds{5});
 }
 
+// Guards against bytes behind the answer to HEAD, which the caller reads as its next answer.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "faulty_targets: the answer to HEAD on a streaming route has no body")
+{
+    auto target =
+        scripted_target{*this, "engine-1", "engine", [&](const received_request& request) {
+                            request.connection->send(stream_head(request.id));
+                        }};
+    publish(1);
+    add_instance();
+    wait_ready();
+    wait([&] { return instances[0]->view().targets.targets.size() == 1; });
+    auto received = std::string{};
+    auto connection = tcp_connection{};
+    check([&]() -> result<void> {
+        BOOST_LEAF_ASSIGN(connection, connect_tcp(loop, settings[0].front_address));
+        return {};
+    });
+    connection.set_handlers({{}, [&](std::string_view bytes) { received += bytes; }, {}, {}});
+    const auto fields = std::string{" HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: key-1\r\n"
+                                    "X-Deadline-Ms: 4000\r\nX-Attempt-Id: "};
+    connection.send("HEAD /quote/1" + fields + "h1\r\n\r\n");
+    wait([&] { return received.ends_with("\r\n\r\n"); });
+    connection.send("GET /nowhere/" + fields + "h2\r\n\r\n");
+    wait([&] { return received.find(" 404 ") != std::string::npos; });
+    const auto head_end = received.find("\r\n\r\n") + 4;
+    CHECK(received.substr(head_end).starts_with("HTTP/1.1 404 "));
+}
+
 // Guards against news of one start of a target that is recorded for its next start, which the store
 // lists while a request is at the first one.
 TEST_CASE_FIXTURE(fleet_fixture, "faulty_targets: what a target's earlier start says does not hold "
