Fail a soak of copied refusals that met none, and a connection with an id twice

Cause: soak-refusals-1 passed also if no duplicate was written while its id ran. Change: such a run is a violation, and so is a duplicate on the connection that carries its id again.

--- a/fakes/soak.cpp
+++ b/fakes/soak.cpp
@@ -275,6 +275,13 @@
                   << refusals.duplicates << ", while their id ran on that connection "
                   << refusals.during_run << ", on another connection " << refusals.during_other_run
                   << std::endl;
+        if (refusals.during_run > 0) {
+            violations.push_back("a connection carried a request twice: " +
+                                 std::to_string(refusals.during_run));
+        }
+        if (refusals.during_other_run == 0) {
+            violations.push_back("no duplicate of a refusal met a run, so nothing was checked");
+        }
     }
 }
 
