--- a/tests/unit-platform_adapter.cpp
+++ b/tests/unit-platform_adapter.cpp
@@ -187,11 +187,11 @@
     };
     CHECK_FALSE(answer_with({}).limit);
     CHECK_FALSE(answer_with({}).limit_unreadable);
-    for (const auto& [text, rate] :
+    for (const auto& valid :
          {std::pair{"4.2", 4.2}, {"4", 4.0}, {"0", 0.0}, {"0.25", 0.25}, {"1e3", 1000.0}}) {
-        CAPTURE(text);
-        CHECK(answer_with({text}).limit == doctest::Approx(rate));
-        CHECK_FALSE(answer_with({text}).limit_unreadable);
+        CAPTURE(valid.first);
+        CHECK(answer_with({valid.first}).limit == doctest::Approx(valid.second));
+        CHECK_FALSE(answer_with({valid.first}).limit_unreadable);
     }
     for (const auto* text : {"", "-1", "-0.1", "inf", "-inf", "nan", "1e400", "four",
                              "4 per second", "4,2", "0x4", "+4"}) {
