End a limit that nobody confirms for 60 s

What callers could see: one instance that sends a target next to nothing for many minutes after its limit. Cause: a limit ends with an answer without it, and its end is shared once. An instance that misses the message learns it only from its own next turn: after 390 s at 390 instances and one request per second, after 26 minutes at the lowest limit. Change: maintenance ends limits that were last announced more than 60 s ago, and logs them.

--- a/include/cyclamenpost/routing/limit_sharing.hpp
+++ b/include/cyclamenpost/routing/limit_sharing.hpp
@@ -34,6 +34,11 @@
 /// one that is newer by up to half of this.
 inline constexpr duration lower_limit_precedence = std::chrono::seconds{1};
 
+/// Time after which a limit ends that no answer and no other instance has confirmed. Ends are sent
+/// once; an instance that missed one would otherwise keep the limit until its own next turn, which
+/// comes after 26 minutes at 390 instances and the lowest limit.
+inline constexpr duration limit_expiry = max_limit_news_age;
+
 /// News of one target's limit, as exchanged between instances.
 struct shared_limit {
     /// Key of the target's id (`name_key`).
@@ -88,6 +93,10 @@
 /// is `shortest` for a few limits.
 auto limit_period(std::size_t limits, duration shortest) -> duration;
 
+/// Ends the limits that were last announced more than `limit_expiry` ago. Returns the ids of their
+/// targets.
+auto expire_limits(target_table& table, time_point now) -> std::vector<std::string>;
+
 /// Applies news of another instance to targets with the same start, and keeps it for forwarding
 /// unless it is known already or old. Returns what it changed.
 auto merge_shared_limits(target_table& table, const std::vector<shared_limit>& limits,
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -454,6 +454,10 @@
     check_knowledge();
     store_.set_duty(peers_.duty(), peers_.last_notice());
     purge_removed_targets(view_.targets, now);
+    for (const auto& id : expire_limits(view_.targets, now)) {
+        log_event(log_level::info, "target_limit",
+                  {{"target", id}, {"change", "ended"}, {"limit", "none"}, {"source", "expiry"}});
+    }
     if (time_to_step(view_.start, start_step::first_answer) &&
         !std::exchange(logged_start_, true)) {
         log_start(view_.start);
--- a/src/routing/limit_sharing.cpp
+++ b/src/routing/limit_sharing.cpp
@@ -114,6 +114,20 @@
                     std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds}));
 }
 
+auto expire_limits(target_table& table, time_point now) -> std::vector<std::string>
+{
+    auto expired = std::vector<std::string>{};
+    for (auto& [id, known] : table.targets) {
+        const auto& announced = known.limit.announced_at;
+        if (announced && now - *announced > limit_expiry) {
+            note_limit(known.limit, std::nullopt, now, now);
+            known.news_of_limit.reset();
+            expired.push_back(id);
+        }
+    }
+    return expired;
+}
+
 auto merge_shared_limits(target_table& table, const std::vector<shared_limit>& limits,
                          report_origin origin, time_point now) -> std::vector<shared_limit_change>
 {
--- a/tests/unit-limit_sharing.cpp
+++ b/tests/unit-limit_sharing.cpp
@@ -265,6 +265,20 @@
     CHECK(one.take(report_origin::other_zone, start + 2100ms).size() == 1);
 }
 
+// Guards against an instance that has missed the end of a limit and sends the target next to
+// nothing for many minutes.
+TEST_CASE("limit_sharing: a limit that nobody confirms ends")
+{
+    auto lone = member{few_targets};
+    lone.answer(2.0, start);
+    lone.answer(3.0, start + 30s, "t2");
+    CHECK(expire_limits(lone.table, start + limit_expiry).empty());
+    CHECK(expire_limits(lone.table, start + limit_expiry + 1s) == std::vector<std::string>{"t1"});
+    CHECK_FALSE(lone.limit(start + limit_expiry + 1s));
+    CHECK(lone.limit(start + limit_expiry + 1s, "t2") == doctest::Approx(3));
+    CHECK(lone.answer(2.0, start + limit_expiry + 2s) == limit_change::began);
+}
+
 // Guards against a crash or an entry for targets that this instance does not know yet.
 TEST_CASE("limit_sharing: news of unknown targets have no effect")
 {
