End a limit only by an answer with the request's id

What callers could see: nothing; a target under pressure could get more than its limit from all instances. Cause: an answer without platform headers, of something before the target, ended the limit, and the end was shared. Change: an answer without a limit ends one only if it carries the request's id.

--- a/src/entry/forward_job_answer.cpp
+++ b/src/entry/forward_job_answer.cpp
@@ -109,9 +109,10 @@
         if (sample_line(state.sampler, first_byte_at)) {
             log_event(log_level::warning, "limit_unreadable", {{"target", target_id}});
         }
-        if (!answer.limit) {
-            return;
-        }
+    }
+    // an answer without the request's id may come from something before the target
+    if (!answer.limit && (answer.limit_unreadable || answer.request_id.empty())) {
+        return;
     }
     const auto as_of = answer.limit ? first_byte_at : attempt_begun;
     const auto change =
--- a/tests/unit-limited_targets.cpp
+++ b/tests/unit-limited_targets.cpp
@@ -11,6 +11,8 @@
     std::list<tcp_connection> connections;
     /// Header lines of its answers.
     std::string announced;
+    /// Whether its answers carry the request's id.
+    bool identifies = true;
     std::vector<time_point> arrivals;
 
     announcing_target(fleet_fixture& fleet, const std::string& id)
@@ -47,8 +49,9 @@
             arrivals.push_back(monotonic_now());
             const auto at = text->find("X-Attempt-Id: ") + 14;
             const auto id = text->substr(at, text->find('\r', at) - at);
-            connection->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: " + id + "\r\n" +
-                             announced + "Content-Length: 4\r\n\r\ndone");
+            const auto id_line = identifies ? "X-Attempt-Id: " + id + "\r\n" : std::string{};
+            connection->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n" + id_line + announced +
+                             "Content-Length: 4\r\n\r\ndone");
             text->clear();
         };
         connection->set_handlers(std::move(handlers));
@@ -148,3 +151,19 @@
     }
     CHECK(limited.most_in_window() <= allowed(2));
 }
+
+// Guards against an answer that may come from something before the target, and ends its limit in
+// the whole fleet.
+TEST_CASE_FIXTURE(announcing_fleet, "limited_targets: an answer without the request's id ends no "
+                                    "limit")
+{
+    start(1);
+    limited.announced = "Server-Limit: 2\r\nConnection: close\r\n";
+    CHECK(ask("/book/1").head.status == 200);
+    limited.announced = "Connection: close\r\n";
+    limited.identifies = false;
+    for (auto sent = 0; sent < 40; ++sent) {
+        ask("/book/2");
+    }
+    CHECK(limited.most_in_window() <= allowed(2));
+}
