Count a limited target with no more capacity than its limit

What callers could see: a Retry-After that is too short while all targets of a service have limits. Cause: the slots that a limit leaves were divided by the target's pace, so a target that reports half of the usual time counted twice. Change: the limit bounds the slots after the division. No test shows the difference: the sum is worked out inside the request path.

--- a/src/entry/forward_job_waiting.cpp
+++ b/src/entry/forward_job_waiting.cpp
@@ -150,11 +150,10 @@
                 continue;
             }
             const auto estimate = estimate_target(table, known, now);
-            const auto listed_slots =
+            const auto own =
                 static_cast<double>(std::max({known.published.capacity, service->capacity, 1U}));
-            const auto own = std::min(listed_slots, limited_slots(known, now));
             ++usable;
-            slots += own / std::max(estimate.pace, min_pace);
+            slots += std::min(own / std::max(estimate.pace, min_pace), limited_slots(known, now));
             waiting += std::max(estimate.requests - own, 0.0);
         }
     }
