--- a/include/cyclamenpost/routing/target_choice.hpp
+++ b/include/cyclamenpost/routing/target_choice.hpp
@@ -91,9 +91,9 @@
     /// When the first of the eligible targets that want to rest, and were not tried, may be used
     /// again.
     std::optional<time_point> first_rest_end;
-    /// Eligible targets whose announced limit allows no request of this instance now, and when the
-    /// first of them may get one.
+    /// Eligible targets whose announced limit allows no request of this instance now.
     std::size_t limited = 0;
+    /// When the first of them may get one; unset while the size of the fleet is not known.
     std::optional<time_point> first_allowed;
     /// What was believed of the chosen target when the request was spread.
     target_estimate believed;
--- a/include/cyclamenpost/routing/target_limit.hpp
+++ b/include/cyclamenpost/routing/target_limit.hpp
@@ -44,8 +44,8 @@
     std::optional<time_point> announced_at;
     /// Newest time as of which no limit applied.
     time_point ended_at{};
-    /// Time of the last `note_limit` that changed the limit. Earlier turns are gone: without this,
-    /// each change of the limit would admit the requests of a whole validity again.
+    /// Time of the last `note_limit` that changed the limit. Earlier turns may not be used: without
+    /// this, each change of the limit would admit the requests of a whole validity again.
     time_point turns_from{};
     /// Turns up to this time on the shared clock have been used.
     std::chrono::nanoseconds used_until{};
@@ -87,8 +87,8 @@
     std::size_t members = 0;
     /// Added to the monotonic time for a clock that the instances have in common.
     duration clock_offset{};
-    /// When this instance last changed its rank or the number of members. Earlier turns are gone:
-    /// their former owners may have used them.
+    /// When this instance last changed its rank or the number of members. Earlier turns may not be
+    /// used: their former owners may have used them.
     time_point since{};
 };
 
@@ -105,9 +105,9 @@
 /// Whether a request may be sent to a target now. A limit is divided into turns: turn j is at time
 /// j / limit on the shared clock and belongs to the instance whose rank, rotated by the target's
 /// key, is j modulo the number of members. A turn lets one request through, at its time or up to
-/// `turn_validity` later. Turns from before the limit or the position last changed are gone.
-/// Without a limit any request may be sent; an instance that does not know the number of members
-/// has no turn.
+/// `turn_validity` later. Turns from before the last change of the limit or of the position may not
+/// be used. Without a limit any request may be sent; an instance that does not know the number of
+/// members has no turn.
 ///
 /// Load pattern: a target under pressure announces 1 to 5 requests per second, while 8 to 390
 /// instances send it requests. In any 4 s at most 5.5 x limit + 2 requests pass.
--- a/src/entry/forward_job.hpp
+++ b/src/entry/forward_job.hpp
@@ -199,7 +199,7 @@
     auto refuse_for_target(attempt_end end, std::string_view cause) -> bool;
     /// Records that the target says that it is leaving, in any answer on its connection.
     auto note_leaving(int status, const answer_metadata& seen) -> void;
-    /// Records that the target wants rest. Only the answer to the attempt counts: the time would be
+    /// Records the target's Retry-After. Only the answer to the attempt counts: the time would be
     /// counted from the arrival of a late copy.
     auto note_rest() -> void;
     /// Records the requests per second that the target takes from all instances.
@@ -245,8 +245,8 @@
     auto note_silence() -> void;
     /// Records for the fleet's record whether the target answered the attempt that ends.
     auto note_attempt_end(std::string_view cause, target_outcome health) -> void;
-    /// The target of the attempt, if the store still lists the start to which it was sent; null for
-    /// a later start, of which nothing that happens to the attempt holds.
+    /// The target of the attempt; null if it is no longer known or has restarted since, since the
+    /// attempt's outcome says nothing of the new process.
     auto attempted_target() const -> target*;
     /// Records the end of the attempt in the target table, once.
     auto release_target(target_outcome health) -> void;
--- a/src/entry/forward_job_waiting.cpp
+++ b/src/entry/forward_job_waiting.cpp
@@ -22,7 +22,7 @@
 constexpr double min_pace = 0.1;
 
 /// When the first of the targets that rest or are limited may get a request. One without a known
-/// time may get one at any moment: the size of the fleet is known soon after a start.
+/// time may get one soon: the size of the fleet is known once the membership has settled.
 auto first_usable(const target_choice& choice, time_point now) -> time_point
 {
     auto first = choice.first_rest_end.value_or(time_point::max());
--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -28,9 +28,9 @@
 // a body is held up to three times: by the caller's connection, by the request that is sent, and by
 // the target's connection until the kernel takes it
 constexpr std::size_t request_memory_divisor = 12;
-// a smaller or missing figure for the machine's memory must not make ordinary answers too large
 // parts of a prompt that are checked for crashing targets; prompts have a handful
 constexpr std::size_t max_prompt_keys = 16;
+// a smaller or missing figure for the machine's memory must not make ordinary answers too large
 constexpr std::size_t min_memory_bytes = std::size_t{32} << 20U;
 
 /// Index of the last part of the prompt that other requests may share; only the final part is the
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -35,7 +35,7 @@
     target* destination = nullptr;
     target_estimate believed;
     double load = 0;
-    /// Not tried before, and within its cold quota.
+    /// Not tried before, not resting, and within its cold quota and its limit.
     bool available = false;
 };
 
--- a/src/routing/target_table.cpp
+++ b/src/routing/target_table.cpp
@@ -69,7 +69,8 @@
     return false;
 }
 
-/// Age from which a request may use a turn of the target.
+/// Age from which a request may use a turn of the target. Requests with small prompts leave fresh
+/// turns to those with large ones, whose prompts cost most to move.
 auto least_turn_age(const target_table& table, const target& candidate, std::uint32_t prompt_tokens,
                     time_point now) -> duration
 {
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -17,17 +17,17 @@
 // an idle connection is closed this long before the peer would close it
 constexpr duration keep_alive_margin = std::chrono::milliseconds{700};
 constexpr duration sweep_period = std::chrono::seconds{1};
-// interim responses and late copies of earlier responses are few and small; a peer that sends more
-// of them may go on without end
 // what an idle connection takes in this process and in libwebsockets
 constexpr std::size_t connection_bytes = 2048;
 // a connection with an ordinary head goes on while few others hold much
 constexpr std::size_t small_connection_bytes = 8192;
+// interim responses and late copies of earlier responses are few and small; a peer that sends more
+// of them may go on without end
 constexpr std::size_t max_skipped_responses = 16;
+constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 // idle connections to a peer that one request may pass over; a caller that repeats one id would
 // otherwise add a connection with each request
 constexpr std::size_t max_passed_over = 4;
-constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 
 auto failure_of(close_reason reason) -> exchange_failure
 {
