Give the instances of unit tests ports that nothing else takes

Traced: an instance could not listen (child_start: Address already in use, then child_failed_too_often). The fixture took a port that the kernel had just assigned and freed; a connection of another test got it before the instance listened on it. Change: ports below those of outgoing connections and of the soak, from another start in each process. No check is changed.

--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -10,6 +10,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include "cyclamenpost/entry/entry_instance.hpp"
 #include "fake_store.hpp"
@@ -22,20 +23,32 @@
 /// Time limit for reaching a state; a test that exceeds it fails.
 inline constexpr auto wait_timeout = std::chrono::seconds{20};
 
-/// An address with a port that was free when this was called.
+/// An address with a port that was free when this was called. The ports lie below those that the
+/// kernel assigns to outgoing connections, and below those of the soak's processes: either could
+/// take the port before the test listens on it.
 inline auto free_address(event_loop& loop) -> std::string
 {
-    auto address = std::string{};
-    const auto opened = try_or(
-        [&]() -> result<void> {
-            auto listener = tcp_listener{};
-            BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, "127.0.0.1:0", {}));
-            address = "127.0.0.1:" + std::to_string(listener.port());
-            return {};
-        },
-        [](const error& failure) { FAIL(describe(failure)); });
-    REQUIRE(opened);
-    return address;
+    constexpr auto first_port = 10000;
+    constexpr auto port_range = 10000;
+    // tests of several processes run at the same time and begin at different ports
+    constexpr auto ports_apart = 397;
+    static auto next = static_cast<int>(getpid()) * ports_apart % port_range;
+    for (auto tries = 0; tries < port_range; ++tries) {
+        next = (next + 1) % port_range;
+        auto address = "127.0.0.1:" + std::to_string(first_port + next);
+        auto listener = tcp_listener{};
+        const auto opened = try_or(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(listener, tcp_listener::open(loop, address, {}));
+                return {};
+            },
+            [](const error&) {});
+        if (opened) {
+            return address;
+        }
+    }
+    FAIL("no port is free");
+    return {};
 }
 
 /// One request of a caller, and its answer.
