--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
-from stand import Client, Fleet, Record, Server, Unusable, configuration, route, run_case
+from stand import Client, Fleet, Server, Unusable, configuration, route, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 STABLE_S = 3.0          # bounds.stable_ms
