--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -532,11 +532,19 @@
 
 
 def run_case(play, limit_s=110):
-    """Plays a case. Returns what it returns, or 2 if it couldn't be played."""
+    """Plays a case. Returns what it returns, or 2 if it couldn't be played. Told to end, it ends its
+    processes first."""
     record = Record(sys.argv[1])
+
+    async def guarded():
+        playing = asyncio.create_task(play(record))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+        return await asyncio.wait_for(playing, limit_s)
+
     try:
-        return asyncio.run(asyncio.wait_for(play(record), limit_s))
-    except Exception as why:
+        return asyncio.run(guarded())
+    except (Exception, asyncio.CancelledError) as why:
         record(f"not played: {why!r}")
         print(f"not played: {why!r}")
         return 2
